--- /dev/null
+++ b/packages/cli/src/commands/index.ts
@@ -0,0 +1,27 @@
+/** All commands, in the order in which help lists them. */
+import { type Command } from "../runCommand";
+import { keyHash } from "./keyHash";
+import { recall } from "./recall";
+import { serve } from "./serve";
+import { settingsCheck } from "./settingsCheck";
+import { status } from "./status";
+import { ticketCheck } from "./ticketCheck";
+import { ticketList } from "./ticketList";
+import { ticketShow } from "./ticketShow";
+import { ticketStatus } from "./ticketStatus";
+import { ticketSubmit } from "./ticketSubmit";
+import { version } from "./version";
+
+export const commands: readonly Command[] = [
+    serve,
+    settingsCheck,
+    ticketCheck,
+    ticketSubmit,
+    ticketStatus,
+    ticketList,
+    ticketShow,
+    recall,
+    status,
+    keyHash,
+    version,
+];
--- /dev/null
+++ b/packages/cli/src/commands/status.ts
@@ -0,0 +1,54 @@
+import { callOperator, parseOperatorArgs } from "../operatorClient";
+import { type Command } from "../runCommand";
+import { report } from "./report";
+
+type Status = {
+    readonly process: string;
+    readonly availabilityZone: string;
+    readonly holdsLease: boolean;
+    readonly config: { readonly revision: number; readonly highestTicket: number; readonly confirmedMsAgo: number };
+    readonly services: readonly {
+        readonly service: string;
+        readonly kind: string;
+        readonly declared: number;
+        readonly serving: number;
+    }[];
+    readonly groups: readonly {
+        readonly group: string;
+        readonly standing: string;
+        readonly reason?: string;
+        readonly members: readonly { readonly instance: string; readonly evidenceMsAgo?: number }[];
+    }[];
+};
+
+export const status: Command = {
+    words: "status",
+    usage: "status [--endpoint URL] [--json]",
+    summary:
+        "Show services, replicas, groups and peers as one entry instance knows them, and how old its knowledge is.",
+    run: async args => {
+        const { endpoint, json } = parseOperatorArgs(args);
+        return report(await callOperator(endpoint, "/v1/status"), json, render);
+    },
+};
+
+function render(known: Status): string {
+    const { config } = known;
+    return [
+        `${known.process} in ${known.availabilityZone}${known.holdsLease ? ", holds the control lease" : ""}`,
+        `configuration: revision ${config.revision}, confirmed ${config.confirmedMsAgo} ms ago`,
+        "services:",
+        ...known.services.map(({ service, kind, declared, serving }) =>
+            `  ${service}  ${kind}  ${serving} of ${declared} serving here`
+        ),
+        "groups:",
+        ...known.groups.map(renderGroup),
+    ].join("\n");
+}
+
+function renderGroup({ group, standing, reason, members }: Status["groups"][number]): string {
+    const ages = members.map(({ instance, evidenceMsAgo }) =>
+        `${instance} (${evidenceMsAgo === undefined ? "no evidence" : `${evidenceMsAgo} ms`})`
+    );
+    return `  ${group}  ${standing}${reason === undefined ? "" : `: ${reason}`}  ${ages.join(", ")}`;
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,6 @@
+/** The `rattanquay` program. */
+import { runCommand } from "./runCommand";
+
+void runCommand(process.argv.slice(2)).then(code => {
+    process.exitCode = code;
+});
--- /dev/null
+++ b/packages/cli/src/output.ts
@@ -0,0 +1,11 @@
+/** What a command prints. */
+
+/** Prints one line on standard output. */
+export function print(line: string): void {
+    process.stdout.write(`${line}\n`);
+}
+
+/** Prints one line on standard error. */
+export function complain(line: string): void {
+    process.stderr.write(`${line}\n`);
+}
--- /dev/null
+++ b/packages/core/src/evidence/judgeGroup.ts
@@ -0,0 +1,88 @@
+import { type GroupRow, type Member, type ServerInfo } from "@rattanquay/schema";
+
+/** What an instance said of itself, and when the probe that brought it back was sent, on the prober's own clock. */
+export type Evidence = { readonly info: ServerInfo; readonly sentAtMs: number };
+
+/** What else decides about a group: instances that are leaving or recalled, and recalled versions. */
+export type Surroundings = {
+    readonly leaving: ReadonlySet<string>;
+    readonly recalledInstances: ReadonlySet<string>;
+    readonly versionRecalled: boolean;
+};
+
+/** Whether a group may be given new work; if not, why, and whether that can still come right by itself. */
+export type Standing =
+    | { readonly kind: "serving" }
+    /** Not proved yet, or the proof is too old: it may come (back). */
+    | { readonly kind: "unproved"; readonly reason: string }
+    /** No new work, running work may finish. */
+    | { readonly kind: "leaving"; readonly reason: string }
+    /** Cannot come right: the group must be dissolved. */
+    | { readonly kind: "broken"; readonly reason: string };
+
+type Limits = { readonly nowMs: number; readonly maxAgeMs: number };
+
+/**
+ * Judges a group. Age counts from when the probe was sent, so that a slow answer never looks fresher than it is, and only
+ * the prober's clock is read. A member under a new boot id breaks the group, whatever else it says.
+ */
+export function judgeGroup(
+    group: GroupRow,
+    evidence: ReadonlyMap<string, Evidence>,
+    surroundings: Surroundings,
+    limits: Limits,
+): Standing {
+    const standings = group.members.map(member => judgeMember(group, member, evidence.get(member.instance), limits));
+    const broken = standings.find(standing => standing.kind === "broken");
+    if (broken !== undefined) {
+        return broken;
+    }
+    const leaving = leavingReason(group, surroundings);
+    if (leaving !== undefined) {
+        return { kind: "leaving", reason: leaving };
+    }
+    return standings.find(standing => standing.kind === "unproved") ?? { kind: "serving" };
+}
+
+function leavingReason(group: GroupRow, surroundings: Surroundings): string | undefined {
+    if (group.state === "draining") {
+        return "the group is draining";
+    }
+    if (surroundings.versionRecalled) {
+        return `version ${group.version} of ${group.model} is recalled`;
+    }
+    const recalled = group.members.find(member => surroundings.recalledInstances.has(member.instance));
+    if (recalled !== undefined) {
+        return `instance ${recalled.instance} is recalled`;
+    }
+    const leaving = group.members.find(member => surroundings.leaving.has(member.instance));
+    return leaving === undefined ? undefined : `instance ${leaving.instance} is leaving`;
+}
+
+function judgeMember(group: GroupRow, member: Member, evidence: Evidence | undefined, limits: Limits): Standing {
+    if (evidence === undefined) {
+        return { kind: "unproved", reason: `no evidence of ${member.instance}` };
+    }
+    const { info, sentAtMs } = evidence;
+    if (info.bootId !== member.bootId) {
+        return { kind: "broken", reason: `${member.instance} has restarted` };
+    }
+    if (limits.nowMs - sentAtMs > limits.maxAgeMs) {
+        return { kind: "unproved", reason: `evidence of ${member.instance} is too old` };
+    }
+    if (info.status === "failed") {
+        return { kind: "broken", reason: `${member.instance} reports failure` };
+    }
+    return holdsAssignment(group, info)
+        ? { kind: "serving" }
+        : { kind: "unproved", reason: `${member.instance} does not report the assignment` };
+}
+
+function holdsAssignment(group: GroupRow, info: ServerInfo): boolean {
+    return info.status === "ready"
+        && info.group === group.group
+        && info.fence === group.fence
+        && info.model === group.model
+        && info.version === group.version
+        && info.adapter === group.adapter;
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,8 @@
+/** Decisions without input or output. Clocks, randomness and rows come in as values; decisions go out as values. */
+export * from "./config";
+export * from "./evidence";
+export * from "./groups";
+export * from "./lease";
+export * from "./outcomes";
+export * from "./routing";
+export * from "./tickets";
--- /dev/null
+++ b/packages/core/src/lease/index.ts
@@ -0,0 +1,2 @@
+/** Holding a zone's control lease without comparing clocks. */
+export { initialLease, type LeaseState, type LeaseStep, mayAct, nextLeaseStep, noteRead, noteRenewed } from "./lease";
--- /dev/null
+++ b/packages/core/src/tickets/decideTicket.ts
@@ -0,0 +1,93 @@
+import { subjectKeys, type SubjectRow, type Ticket, type TicketRow, type Verdict } from "@rattanquay/schema";
+
+/** What stands in the table when a ticket is judged. */
+export type Ground = {
+    readonly head: { readonly revision: number; readonly highestTicket: number };
+    /** The ticket of the same number, when there is one. */
+    readonly sameNumber: TicketRow | undefined;
+    /** Rows of the subjects that the ticket touches, as far as they exist, by subject key. */
+    readonly subjects: ReadonlyMap<string, SubjectRow>;
+};
+
+/** Either a verdict at once, or the rows that one transaction must write for the ticket to be accepted. */
+export type Acceptance =
+    | { readonly kind: "decided"; readonly verdict: Verdict }
+    | {
+        readonly kind: "write";
+        readonly revision: number;
+        readonly ticketRow: TicketRow;
+        readonly subjectRows: readonly SubjectRow[];
+    };
+
+/**
+ * Judges a ticket against what stands.
+ *
+ * The same number with the same content gets the same verdict again, however often it is sent. A number lower than the
+ * last ticket on anything it touches is refused, and the refusal names that ticket.
+ */
+export function decideTicket(ticket: Ticket, digest: string, ground: Ground): Acceptance {
+    if (ground.sameNumber !== undefined) {
+        return { kind: "decided", verdict: repeatedVerdict(ticket, digest, ground.sameNumber) };
+    }
+    const overtaking = [...ground.subjects].find(([, row]) => row.ticket >= ticket.ticket);
+    if (overtaking !== undefined) {
+        return { kind: "decided", verdict: overtakenVerdict(ticket, overtaking[0], overtaking[1].ticket) };
+    }
+    const revision = ground.head.revision + 1;
+    return {
+        kind: "write",
+        revision,
+        ticketRow: {
+            ticket: ticket.ticket,
+            digest,
+            revision,
+            author: ticket.author,
+            reason: ticket.reason,
+            subjects: [...subjectKeys(ticket)],
+            content: ticket,
+        },
+        subjectRows: subjectRowsOf(ticket, revision),
+    };
+}
+
+function repeatedVerdict(ticket: Ticket, digest: string, accepted: TicketRow): Verdict {
+    if (accepted.digest === digest) {
+        return { kind: "accepted", ticket: ticket.ticket, revision: accepted.revision };
+    }
+    const message =
+        `Ticket ${ticket.ticket} was accepted with other content, from ${accepted.author}. Give yours a new number.`;
+    return { kind: "numberTaken", ticket: ticket.ticket, message };
+}
+
+function overtakenVerdict(ticket: Ticket, subject: string, by: number): Verdict {
+    const message =
+        `${subject} is already set by ticket ${by}. Review that ticket, then submit yours with a number above ${by}.`;
+    return { kind: "overtaken", ticket: ticket.ticket, by, subject, message };
+}
+
+function subjectRowsOf(ticket: Ticket, revision: number): readonly SubjectRow[] {
+    const common = { ticket: ticket.ticket, revision };
+    return [
+        ...Object.entries(ticket.services).map(([name, state]) => ({
+            kind: "service" as const,
+            name,
+            state,
+            ...common,
+        })),
+        ...Object.entries(ticket.workspaces).map(([name, state]) => ({
+            kind: "workspace" as const,
+            name,
+            state,
+            ...common,
+        })),
+        ...Object.entries(ticket.recalls).map(([name, state]) => ({ kind: "recall" as const, name, state, ...common })),
+        ...ticket.remove.map(key => ({ ...tombstone(key), ...common })),
+    ];
+}
+
+const kindOfFolder = { services: "service", workspaces: "workspace", recalls: "recall" } as const;
+
+function tombstone(key: string): { readonly kind: SubjectRow["kind"]; readonly name: string } {
+    const [folder, name] = key.split("/") as [keyof typeof kindOfFolder, string];
+    return { kind: kindOfFolder[folder], name };
+}
--- /dev/null
+++ b/packages/core/src/tickets/index.ts
@@ -0,0 +1,2 @@
+/** Accepting change tickets. */
+export { type Acceptance, decideTicket, type Ground } from "./decideTicket";
--- /dev/null
+++ b/packages/entry/src/callers/callerDoor.ts
@@ -0,0 +1,153 @@
+/** The callers' listener. */
+import { makeRetryBudget, type RetryBudget } from "@rattanquay/core";
+import { headerNames } from "@rattanquay/schema";
+import { type Feed } from "@rattanquay/task";
+import { randomUUID } from "node:crypto";
+import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type Configuration } from "../config";
+import { type Dispatch } from "../dispatch";
+import { bearerKey, hashKey } from "../keys";
+import { openListener, portOf } from "../listener";
+import { type Surroundings } from "../surroundings";
+import { serveChat } from "./chat";
+import { type Claims, makeClaims } from "./claims";
+import { conclude, type Conclusion, type Exchange, refuse } from "./exchange";
+import { servePlain } from "./plain";
+
+export type CallerDoor = {
+    readonly port: number;
+    /** Refuses new connections and resolves when every running request has ended. */
+    readonly drain: () => Promise<void>;
+    readonly inFlight: () => number;
+    readonly close: () => void;
+};
+
+/** What handlers reach besides the exchange itself. */
+export type Reach = {
+    readonly surroundings: Surroundings;
+    readonly dispatch: Dispatch;
+    readonly claims: Claims;
+    readonly retryBudget: RetryBudget;
+};
+
+type Handler = (exchange: Exchange, workspace: string, reach: Reach) => Promise<Conclusion>;
+
+const chatPath = "/v1/chat/completions";
+const modelsPath = "/v1/models";
+const plainPrefix = "/services/";
+
+export async function startCallerDoor(
+    surroundings: Surroundings,
+    configuration: Feed<Configuration>,
+    dispatch: Dispatch,
+    isReady: () => boolean,
+): Promise<CallerDoor> {
+    const retryBudget = makeRetryBudget(surroundings.settings.limits.retryShare);
+    const reach: Reach = { surroundings, dispatch, claims: makeClaims(surroundings), retryBudget };
+    let inFlight = 0;
+    let draining = false;
+    let onIdle: () => void = () => undefined;
+
+    const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+        const path = (request.url ?? "/").split("?")[0]!;
+        if (answerProbe(path, response, isReady)) {
+            return;
+        }
+        inFlight++;
+        if (draining) {
+            response.setHeader("connection", "close");
+        }
+        const exchange = openExchange(request, response, path, surroundings, configuration);
+        const conclusion = isReady() || draining
+            ? await route(exchange, reach)
+            : refuse(exchange, "notReady", { retryAfterMs: 1_000 });
+        conclude(exchange, conclusion, surroundings);
+        inFlight--;
+        if (inFlight === 0) {
+            onIdle();
+        }
+    };
+
+    const server: Server = await openListener(surroundings.settings.listeners.callers, (request, response) => {
+        serve(request, response).catch(error => surroundings.onBroken("callerDoor", error));
+    });
+    return {
+        port: portOf(server),
+        inFlight: () => inFlight,
+        drain: () => {
+            draining = true;
+            server.close();
+            server.closeIdleConnections();
+            return inFlight === 0 ? Promise.resolve() : new Promise(resolve => onIdle = resolve);
+        },
+        close: () => {
+            server.close();
+            server.closeAllConnections();
+        },
+    };
+}
+
+function answerProbe(path: string, response: ServerResponse, isReady: () => boolean): boolean {
+    if (path !== "/readyz" && path !== "/healthz") {
+        return false;
+    }
+    const good = path === "/healthz" || isReady();
+    response.writeHead(good ? 200 : 503, { "content-type": "text/plain" });
+    response.end(good ? "ok\n" : "not ready\n");
+    return true;
+}
+
+function openExchange(
+    request: IncomingMessage,
+    response: ServerResponse,
+    path: string,
+    { timer, tracing }: Surroundings,
+    configuration: Feed<Configuration>,
+): Exchange {
+    const given = request.headers[headerNames.requestId];
+    const requestId = typeof given === "string" && given.length <= 128 ? given : randomUUID();
+    const span = tracing.startServer(`${request.method} ${path}`, request.headers);
+    response.setHeader(headerNames.requestId, requestId);
+    return {
+        requestId,
+        request,
+        response,
+        path,
+        span,
+        arrivedAtMs: timer.nowMs(),
+        snapshot: configuration.latest().snapshot,
+        service: "none",
+    };
+}
+
+async function route(exchange: Exchange, reach: Reach): Promise<Conclusion> {
+    const key = bearerKey(exchange.request.headers.authorization);
+    if (key === undefined) {
+        return refuse(exchange, "missingKey");
+    }
+    const workspace = exchange.snapshot.workspaceOfKey.get(hashKey(key));
+    if (workspace === undefined) {
+        return refuse(exchange, "wrongKey");
+    }
+    const handler = handlerOf(exchange);
+    return handler === undefined ? refuse(exchange, "unknownPath") : handler(exchange, workspace, reach);
+}
+
+const exactHandlers: Readonly<Record<string, Handler>> = {
+    [`POST ${chatPath}`]: serveChat,
+    [`GET ${modelsPath}`]: serveModels,
+};
+
+function handlerOf({ request, path }: Exchange): Handler | undefined {
+    return exactHandlers[`${request.method} ${path}`] ?? (path.startsWith(plainPrefix) ? servePlain : undefined);
+}
+
+async function serveModels({ response, snapshot }: Exchange, workspace: string): Promise<Conclusion> {
+    const assigned = snapshot.workspaces.get(workspace)?.services ?? [];
+    const data = assigned
+        .filter(name => snapshot.services.get(name)?.kind === "model")
+        .map(id => ({ id, object: "model", owned_by: workspace }));
+    response.writeHead(200, { "content-type": "application/json" });
+    response.end(JSON.stringify({ object: "list", data }));
+    return { ending: "answered", code: "ok" };
+}
--- /dev/null
+++ b/packages/entry/src/callers/chat.ts
@@ -0,0 +1,156 @@
+/** Chat completions: admission, attempts at replicas, resumption, and a whole answer or a true refusal. */
+import { type Replica } from "@rattanquay/core";
+import { ChatCall, check, headerNames, type ModelService, renderFaults } from "@rattanquay/schema";
+import { randomUUID } from "node:crypto";
+import { parseJson, readBody } from "./body";
+import { type Reach } from "./callerDoor";
+import { type Answer, makeStreamedAnswer, makeWholeAnswer } from "./chatAnswer";
+import { attemptChat, type AttemptResult } from "./chatAttempt";
+import { type Conclusion, type Exchange, refuse } from "./exchange";
+
+const longFromTokens = 512;
+const defaultMaxTokens = 256;
+const maxAttempts = 4;
+
+export async function serveChat(exchange: Exchange, workspace: string, reach: Reach): Promise<Conclusion> {
+    const { settings, timer } = reach.surroundings;
+    const body = await readBody(exchange.request, settings.limits, timer);
+    if (body.kind === "gone") {
+        return { ending: "notRun", code: "callerGone" };
+    }
+    if (body.kind === "failed") {
+        exchange.response.setHeader("connection", "close");
+        return refuse(exchange, body.code);
+    }
+    const json = parseJson(body.text);
+    if (json === undefined) {
+        return refuse(exchange, "malformedJson");
+    }
+    const checked = check(ChatCall, json.value);
+    if (checked.kind === "invalid") {
+        return refuse(exchange, "invalidRequest", { detail: renderFaults(checked.faults) });
+    }
+    const call = checked.value;
+    const service = exchange.snapshot.services.get(call.model);
+    if (service?.kind !== "model") {
+        return refuse(exchange, "unknownModel", { detail: `Asked for: ${call.model}.` });
+    }
+    exchange.service = call.model;
+    if (!exchange.snapshot.workspaces.get(workspace)?.services.includes(call.model)) {
+        return refuse(exchange, "notAssigned", { detail: `Service: ${call.model}.` });
+    }
+    return relay(exchange, workspace, call, service, reach);
+}
+
+async function relay(
+    exchange: Exchange,
+    workspace: string,
+    call: ChatCall,
+    service: ModelService,
+    reach: Reach,
+): Promise<Conclusion> {
+    const answer = call.stream
+        ? makeStreamedAnswer(exchange, reach.surroundings)
+        : makeWholeAnswer(exchange, reach.surroundings);
+    const budget = reach.retryBudget;
+    const tried = new Set<string>();
+    let ran = false;
+    budget.noteFirstAttempt();
+    for (let attempt = 1;; attempt++) {
+        const id = `${exchange.requestId}/${randomUUID()}`;
+        const grant = await admit(exchange, workspace, call, service, id, tried, reach);
+        if (grant.kind === "refused") {
+            return giveUp(exchange, answer, ran, grant.code, grant.retryAfterMs);
+        }
+        const result = await runAttempt(exchange, call, grant.replica, id, answer, reach);
+        reach.dispatch.release(id);
+        reach.surroundings.metrics.attempts.inc({ service: exchange.service, result: result.kind });
+        if (result.kind === "whole") {
+            return { ending: "answered", code: "ok" };
+        }
+        if (result.kind === "callerGone") {
+            return { ending: "unknown", code: "callerGone" };
+        }
+        if (result.kind === "rejected") {
+            answer.passRejection(result.status, result.body);
+            return { ending: "notRun", code: `upstream${result.status}` };
+        }
+        ran ||= result.kind !== "unreached";
+        tried.add(grant.replica.replica);
+        if (attempt >= maxAttempts || !budget.spend()) {
+            return giveUp(exchange, answer, ran, ran ? "upstreamFailed" : "upstreamUnreachable");
+        }
+    }
+}
+
+function admit(
+    exchange: Exchange,
+    workspace: string,
+    call: ChatCall,
+    service: ModelService,
+    id: string,
+    tried: ReadonlySet<string>,
+    { dispatch }: Reach,
+) {
+    const maxTokens = call.max_completion_tokens ?? call.max_tokens ?? defaultMaxTokens;
+    return dispatch.admit({
+        id,
+        service: exchange.service,
+        workspace,
+        workClass: maxTokens >= longFromTokens ? "long" : "short",
+        priority: service.priority,
+        startByMs: exchange.arrivedAtMs + service.target.firstTokenMs,
+        avoid: tried,
+    });
+}
+
+async function runAttempt(
+    exchange: Exchange,
+    call: ChatCall,
+    replica: Replica,
+    attemptId: string,
+    answer: Answer,
+    { surroundings, dispatch }: Reach,
+): Promise<AttemptResult> {
+    if (!dispatch.stillServing(replica.replica)) {
+        return { kind: "unreached" };
+    }
+    const span = surroundings.tracing.startClient("upstream chat", exchange.span);
+    span.setAttributes({ replica: replica.replica, address: replica.address, attemptId, resumeFrom: answer.tokens() });
+    const result = await attemptChat({
+        address: replica.address,
+        headers: {
+            ...surroundings.tracing.headersOf(span),
+            [headerNames.requestId]: exchange.requestId,
+            [headerNames.attemptId]: attemptId,
+            [headerNames.resumeFrom]: String(answer.tokens()),
+        },
+        body: JSON.stringify({
+            ...call,
+            model: replica.replica,
+            ...(answer.tokens() > 0 ? { continue_from: { text: answer.text() } } : {}),
+        }),
+        answer,
+        limits: surroundings.settings.limits,
+        timer: surroundings.timer,
+        response: exchange.response,
+    });
+    span.setAttributes({ result: result.kind });
+    span.end();
+    return result;
+}
+
+function giveUp(
+    exchange: Exchange,
+    answer: Answer,
+    ran: boolean,
+    code: "noReplica" | "overloaded" | "upstreamFailed" | "upstreamUnreachable",
+    retryAfterMs?: number,
+): Conclusion {
+    const told = ran ? "upstreamFailed" : code;
+    if (answer.begun()) {
+        answer.breakOff(told);
+        return { ending: "unknown", code: told };
+    }
+    return refuse(exchange, told, retryAfterMs === undefined ? {} : { retryAfterMs });
+}
--- /dev/null
+++ b/packages/entry/src/config/index.ts
@@ -0,0 +1,2 @@
+/** Keeping the configuration in force here. */
+export { type Configuration, startConfig } from "./configTask";
--- /dev/null
+++ b/packages/entry/src/dispatch/index.ts
@@ -0,0 +1,2 @@
+/** Giving requests to replicas. */
+export { type Dispatch, type Grant, startDispatch } from "./dispatchTask";
--- /dev/null
+++ b/packages/entry/src/fleet/index.ts
@@ -0,0 +1,2 @@
+/** What this process knows of its zone: instances, groups, evidence, and which groups may be given work. */
+export { type Fleet, noHead, startFleet, type ZoneKnowledge } from "./fleetTask";
--- /dev/null
+++ b/packages/entry/src/operators/index.ts
@@ -0,0 +1,2 @@
+/** The operators' door: tickets, status, metrics. */
+export { type OperatorDoor, startOperatorDoor } from "./operatorDoor";
--- /dev/null
+++ b/packages/entry/src/operators/operatorDoor.ts
@@ -0,0 +1,133 @@
+/** The operators' listener. Metrics and probes are open; everything else asks for an operator's key. */
+import { check, renderFaults, Ticket, type Verdict } from "@rattanquay/schema";
+import { type Feed } from "@rattanquay/task";
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { parseJson, readBody } from "../callers/body";
+import { type Configuration } from "../config";
+import { type Control } from "../control";
+import { type Fleet } from "../fleet";
+import { bearerKey, hashKey } from "../keys";
+import { openListener, portOf } from "../listener";
+import { type Surroundings } from "../surroundings";
+import { listTickets, readTicket, submitTicket } from "../tickets";
+import { statusOf } from "./status";
+
+export type OperatorDoor = { readonly port: number; readonly close: () => void };
+
+type Parts = {
+    readonly surroundings: Surroundings;
+    readonly configuration: Feed<Configuration>;
+    readonly fleet: Fleet;
+    readonly control: Control;
+    readonly isReady: () => boolean;
+};
+
+type Answer = { readonly status: number; readonly body: unknown };
+
+type Handler = (request: IncomingMessage, path: string, parts: Parts) => Promise<Answer>;
+
+const statusOfVerdict: Record<Verdict["kind"], number> = {
+    accepted: 200,
+    numberTaken: 409,
+    overtaken: 409,
+    unavailable: 503,
+};
+
+const handlers: Readonly<Record<string, Handler>> = {
+    "GET /v1/status": async (unusedRequest, unusedPath, { surroundings, configuration, fleet, control }) => ({
+        status: 200,
+        body: statusOf(surroundings, configuration.latest(), fleet.feed.latest(), { holdsLease: control.holdsLease() }),
+    }),
+    "GET /v1/tickets": async (unusedRequest, unusedPath, { surroundings }) => {
+        const outcome = await listTickets(surroundings.table);
+        return outcome.kind === "done" ? { status: 200, body: outcome.value } : platformDown();
+    },
+    "GET /v1/tickets/": async (unusedRequest, path, { surroundings }) => {
+        const number = Number(path.split("/")[3]);
+        const outcome = await readTicket(surroundings.table, number);
+        if (outcome.kind !== "done") {
+            return platformDown();
+        }
+        return outcome.value === undefined
+            ? { status: 404, body: problem(`Ticket ${number} was never accepted.`) }
+            : { status: 200, body: outcome.value };
+    },
+    "POST /v1/tickets": submit,
+};
+
+export async function startOperatorDoor(parts: Parts): Promise<OperatorDoor> {
+    const server = await openListener(parts.surroundings.settings.listeners.operators, (request, response) => {
+        serve(request, response, parts).catch(error => parts.surroundings.onBroken("operatorDoor", error));
+    });
+    return {
+        port: portOf(server),
+        close: () => {
+            server.close();
+            server.closeAllConnections();
+        },
+    };
+}
+
+async function serve(request: IncomingMessage, response: ServerResponse, parts: Parts): Promise<void> {
+    const path = (request.url ?? "/").split("?")[0]!;
+    const open = await openAnswer(path, parts);
+    if (open !== undefined) {
+        response.writeHead(open.status, { "content-type": "text/plain" });
+        response.end(open.text);
+        return;
+    }
+    const answer = await guarded(request, path, parts);
+    response.writeHead(answer.status, { "content-type": "application/json" });
+    response.end(JSON.stringify(answer.body));
+}
+
+async function openAnswer(
+    path: string,
+    { surroundings, isReady }: Parts,
+): Promise<{ readonly status: number; readonly text: string } | undefined> {
+    const answers: Readonly<Record<string, () => Promise<{ readonly status: number; readonly text: string }>>> = {
+        "/metrics": async () => ({ status: 200, text: await surroundings.metrics.registry.metrics() }),
+        "/healthz": async () => ({ status: 200, text: "ok\n" }),
+        "/readyz": async () => isReady() ? { status: 200, text: "ok\n" } : { status: 503, text: "not ready\n" },
+    };
+    return answers[path]?.();
+}
+
+async function guarded(request: IncomingMessage, path: string, parts: Parts): Promise<Answer> {
+    const key = bearerKey(request.headers.authorization);
+    const operator = parts.surroundings.settings.operators.find(({ keySha256 }) =>
+        key !== undefined && keySha256 === hashKey(key)
+    );
+    if (operator === undefined) {
+        return { status: 401, body: problem("No operator has this key. Send it as 'Authorization: Bearer KEY'.") };
+    }
+    const handler = handlers[`${request.method} ${path}`]
+        ?? handlers[`${request.method} ${path.replace(/[^/]+$/, "")}`];
+    return handler === undefined
+        ? { status: 404, body: problem(`There is nothing at ${path}.`) }
+        : handler(request, path, parts);
+}
+
+async function submit(request: IncomingMessage, unusedPath: string, { surroundings }: Parts): Promise<Answer> {
+    const { settings, timer, table, log } = surroundings;
+    const body = await readBody(request, settings.limits, timer);
+    const json = body.kind === "read" ? parseJson(body.text) : undefined;
+    if (json === undefined) {
+        return { status: 400, body: problem("The ticket is not valid JSON.") };
+    }
+    const checked = check(Ticket, json.value);
+    if (checked.kind === "invalid") {
+        return { status: 400, body: problem(renderFaults(checked.faults)) };
+    }
+    const verdict = await submitTicket(table, checked.value);
+    log.info("ticketJudged", { ...verdict, kind: undefined, verdict: verdict.kind });
+    return { status: statusOfVerdict[verdict.kind], body: verdict };
+}
+
+function platformDown(): Answer {
+    return { status: 503, body: problem("The platform's table does not answer. Try again.") };
+}
+
+function problem(message: string): { readonly error: { readonly message: string } } {
+    return { error: { message } };
+}
--- /dev/null
+++ b/packages/entry/src/operators/status.ts
@@ -0,0 +1,61 @@
+/** What one process knows, for operators. */
+import { type Configuration } from "../config";
+import { type ZoneKnowledge } from "../fleet";
+import { type Surroundings } from "../surroundings";
+
+/** The answer to `GET /v1/status`. Ages are in milliseconds on the answering process's own clock. */
+export function statusOf(
+    surroundings: Surroundings,
+    configuration: Configuration,
+    zone: ZoneKnowledge,
+    control: { readonly holdsLease: boolean },
+) {
+    const { settings, timer } = surroundings;
+    const nowMs = timer.nowMs();
+    const { snapshot } = configuration;
+    return {
+        process: settings.process.id,
+        availabilityZone: settings.process.availabilityZone,
+        holdsLease: control.holdsLease,
+        config: {
+            revision: snapshot.revision,
+            highestTicket: snapshot.highestTicket,
+            confirmedMsAgo: Math.round(nowMs - configuration.confirmedAtMs),
+        },
+        services: [...snapshot.services].map(([service, declared]) => ({
+            service,
+            kind: declared.kind,
+            declared: declared.kind === "model"
+                ? declared.replicas[settings.process.availabilityZone] ?? 0
+                : declared.upstreams.length,
+            serving:
+                zone.groups.filter(group =>
+                    group.service === service && zone.standings.get(group.group)?.kind === "serving"
+                ).length,
+        })),
+        groups: zone.groups.map(group => {
+            const standing = zone.standings.get(group.group);
+            return {
+                group: group.group,
+                service: group.service,
+                version: group.version,
+                fence: group.fence,
+                state: group.state,
+                standing: standing?.kind ?? "unproved",
+                reason: standing !== undefined && "reason" in standing ? standing.reason : undefined,
+                members: group.members.map(({ instance }) => {
+                    const evidence = zone.evidence.get(instance);
+                    return {
+                        instance,
+                        evidenceMsAgo: evidence === undefined ? undefined : Math.round(nowMs - evidence.sentAtMs),
+                    };
+                }),
+            };
+        }),
+        instances: {
+            listed: zone.instances.length,
+            leaving: zone.instances.filter(instance => instance.state === "leaving").length,
+        },
+        peers: zone.entries,
+    };
+}
--- /dev/null
+++ b/packages/entry/src/surroundings.ts
@@ -0,0 +1,18 @@
+/** What every task of an entry instance is given. */
+import { type InstanceSource, type Table } from "@rattanquay/platform";
+import { type Settings } from "@rattanquay/schema";
+import { type Log, type Metrics, type Tracing } from "@rattanquay/telemetry";
+import { type Timer } from "@rattanquay/timer";
+
+export type Surroundings = {
+    readonly settings: Settings;
+    readonly table: Table;
+    readonly instanceSource: InstanceSource;
+    readonly timer: Timer;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly tracing: Tracing;
+    /** Numbers in [0, 1). */
+    readonly random: () => number;
+    readonly onBroken: (task: string, error: unknown) => void;
+};
--- /dev/null
+++ b/packages/entry/src/tickets/index.ts
@@ -0,0 +1,3 @@
+/** Submitting and reading change tickets. */
+export { digestOf } from "./digest";
+export { listTickets, readTicket, submitTicket } from "./ticketStore";
--- /dev/null
+++ b/packages/lab/src/cluster/clusterClient.ts
@@ -0,0 +1,44 @@
+/** Operating a stand-in cluster through its entry instances, as an operator would. */
+import { type Ticket, type Verdict } from "@rattanquay/schema";
+import { operatorKey } from "./clusterSpec";
+import { until } from "./until";
+
+const callTimeoutMs = 15_000;
+
+/** Calls an operator listener. */
+export async function operate(port: number, path: string, body?: unknown): Promise<unknown> {
+    const response = await fetch(`http://127.0.0.1:${port}${path}`, {
+        method: body === undefined ? "GET" : "POST",
+        headers: { authorization: `Bearer ${operatorKey}` },
+        signal: AbortSignal.timeout(callTimeoutMs),
+        ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+    });
+    return response.json();
+}
+
+export async function submit(port: number, ticket: Ticket): Promise<Verdict> {
+    return await operate(port, "/v1/tickets", ticket) as Verdict;
+}
+
+type Status = {
+    readonly services: readonly { readonly service: string; readonly declared: number; readonly serving: number }[];
+};
+
+/** How many replicas of a service one entry instance would give work to. */
+export async function servingReplicas(port: number, service: string): Promise<number> {
+    const status = await operate(port, "/v1/status") as Status;
+    return status.services.find(known => known.service === service)?.serving ?? 0;
+}
+
+/** Waits until every entry instance sees `count` serving replicas in its zone. */
+export async function untilServing(
+    ports: readonly number[],
+    service: string,
+    count: number,
+    timeoutMs: number,
+): Promise<void> {
+    await until(`${count} serving replicas of ${service}`, timeoutMs, async () => {
+        const serving = await Promise.all(ports.map(port => servingReplicas(port, service).catch(() => -1)));
+        return serving.every(seen => seen >= count);
+    });
+}
--- /dev/null
+++ b/packages/lab/src/cluster/clusterSpec.ts
@@ -0,0 +1,129 @@
+/** What a small cluster consists of, and the settings and ticket that go with it. */
+import { hashKey } from "@rattanquay/entry";
+import { Settings, Ticket } from "@rattanquay/schema";
+import { type z } from "zod";
+import { type EngineOptions } from "../engine";
+
+/** Keys of the stand-in cluster; they guard nothing. */
+export const operatorKey = "lab-operator-key";
+export const callerKey = "lab-workspace-key";
+const peerSecret = "lab-peer-secret-0123456789";
+
+export const zoneNames = ["zone-a", "zone-b", "zone-c"] as const;
+
+export type ClusterSpec = {
+    readonly zones: number;
+    readonly entriesPerZone: number;
+    readonly domainsPerZone: number;
+    readonly instancesPerDomain: number;
+    readonly replicasPerZone: number;
+    readonly groupSize: number;
+    readonly services: number;
+    readonly concurrency: number;
+    readonly engine: Partial<EngineOptions>;
+    readonly listLagMs: number;
+    readonly weightBytesPerSecond?: number;
+    /** Settings laid over the defaults of each entry instance. */
+    readonly settings: Pick<Partial<z.input<typeof Settings>>, "policy" | "limits" | "intervals" | "traces" | "log">;
+};
+
+export const defaultSpec: ClusterSpec = {
+    zones: 2,
+    entriesPerZone: 2,
+    domainsPerZone: 1,
+    instancesPerDomain: 4,
+    replicasPerZone: 1,
+    groupSize: 2,
+    services: 1,
+    concurrency: 16,
+    engine: {},
+    listLagMs: 300,
+    settings: {},
+};
+
+export type EntryPorts = { readonly callers: number; readonly operators: number; readonly peers: number };
+
+type Place = {
+    readonly id: string;
+    readonly availabilityZone: string;
+    readonly platformPort: number;
+    readonly ports: EntryPorts;
+};
+
+/** The settings of one entry instance. */
+export function settingsFor(spec: ClusterSpec, { id, availabilityZone, platformPort, ports }: Place): Settings {
+    const listener = (port: number) => ({ host: "127.0.0.1", port });
+    return Settings.parse({
+        process: { id, region: "lab", availabilityZone, address: "127.0.0.1" },
+        listeners: {
+            callers: listener(ports.callers),
+            operators: listener(ports.operators),
+            peers: listener(ports.peers),
+        },
+        platform: {
+            tableEndpoint: `http://127.0.0.1:${platformPort}`,
+            instancesEndpoint: `http://127.0.0.1:${platformPort}/instances`,
+        },
+        peers: { secret: peerSecret },
+        operators: [{ name: "lab", keySha256: hashKey(operatorKey) }],
+        ...spec.settings,
+        limits: { shutdownNoticeMs: 50, ...spec.settings.limits },
+    });
+}
+
+type TicketParts = { readonly ticket: number; readonly servicePorts: readonly number[]; readonly version?: string };
+
+/** A ticket that declares the cluster's services and its one workspace. */
+export function ticketFor(spec: ClusterSpec, { ticket, servicePorts, version = "v1" }: TicketParts): Ticket {
+    const zones = zoneNames.slice(0, spec.zones);
+    return Ticket.parse({
+        ticket,
+        author: "lab",
+        reason: "the lab's services",
+        services: {
+            assistant: {
+                kind: "model",
+                model: "stand-in",
+                version,
+                replicas: Object.fromEntries(zones.map(zone => [zone, spec.replicasPerZone])),
+                groupSize: spec.groupSize,
+                concurrency: spec.concurrency,
+            },
+            bookings: {
+                kind: "plain",
+                upstreams: servicePorts.map((port, index) => ({
+                    address: `127.0.0.1:${port}`,
+                    availabilityZone: zones[index % zones.length],
+                })),
+            },
+        },
+        workspaces: { installers: { keySha256: [hashKey(callerKey)], services: ["assistant", "bookings"] } },
+    });
+}
+
+/** Where each engine of the cluster stands. */
+export function enginePlaces(
+    spec: ClusterSpec,
+): readonly { readonly instance: string; readonly availabilityZone: string; readonly fabricDomain: string }[] {
+    return zoneNames.slice(0, spec.zones).flatMap(availabilityZone =>
+        Array.from(
+            { length: spec.domainsPerZone },
+            (unusedDomain, domain) =>
+                Array.from({ length: spec.instancesPerDomain }, (unusedInstance, index) => ({
+                    instance: `${availabilityZone}-d${domain}-i${index}`,
+                    availabilityZone,
+                    fabricDomain: `${availabilityZone}-d${domain}`,
+                })),
+        ).flat()
+    );
+}
+
+/** Names and zones of the cluster's entry instances. */
+export function entryNames(spec: ClusterSpec): readonly { readonly id: string; readonly availabilityZone: string }[] {
+    return zoneNames.slice(0, spec.zones).flatMap(availabilityZone =>
+        Array.from(
+            { length: spec.entriesPerZone },
+            (unused, index) => ({ id: `entry-${availabilityZone}-${index}`, availabilityZone }),
+        )
+    );
+}
--- /dev/null
+++ b/packages/lab/src/cluster/index.ts
@@ -0,0 +1,6 @@
+/** Whole small clusters: embedded in one process, or as separate processes. */
+export { operate, servingReplicas, submit, untilServing } from "./clusterClient";
+export { callerKey, type ClusterSpec, defaultSpec, operatorKey, ticketFor, zoneNames } from "./clusterSpec";
+export { type EmbeddedCluster, startEmbeddedCluster } from "./embeddedCluster";
+export { type ProcessCluster, startProcessCluster } from "./processCluster";
+export { until } from "./until";
--- /dev/null
+++ b/packages/lab/src/cluster/processCluster.ts
@@ -0,0 +1,152 @@
+/** A whole cluster of separate processes on loopback. */
+import { type ChildProcess, spawn } from "node:child_process";
+import { closeSync, mkdirSync, mkdtempSync, openSync, writeFileSync } from "node:fs";
+import { type AddressInfo, createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { basename, dirname, join } from "node:path";
+import { submit, untilServing } from "./clusterClient";
+import { type ClusterSpec, enginePlaces, entryNames, type EntryPorts, settingsFor, ticketFor } from "./clusterSpec";
+import { until } from "./until";
+
+export type Member = { readonly name: string; readonly port: number; readonly child: ChildProcess };
+export type EntryMember = Member & { readonly availabilityZone: string; readonly ports: EntryPorts };
+
+export type ProcessCluster = {
+    readonly folder: string;
+    readonly platform: Member;
+    readonly engines: readonly Member[];
+    readonly services: readonly Member[];
+    readonly entries: EntryMember[];
+    /** Starts an entry instance again under its old name and ports. */
+    readonly restartEntry: (name: string) => Promise<void>;
+    readonly stop: () => Promise<void>;
+};
+
+const startTimeoutMs = 20_000;
+const serveTimeoutMs = 30_000;
+const entryEnvironment = { AWS_ACCESS_KEY_ID: "lab", AWS_SECRET_ACCESS_KEY: "lab" };
+
+/** Where the bundled programs are: beside the lab's own bundle, or in `dist`. */
+function programsFolder(): string {
+    const own = process.argv[1] ?? "";
+    return basename(own) === "rattanquay-lab.cjs" ? dirname(own) : "dist";
+}
+
+/** A port that was free a moment ago. */
+async function freePort(): Promise<number> {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
+
+async function isUp(port: number, path: string): Promise<boolean> {
+    try {
+        const response = await fetch(`http://127.0.0.1:${port}${path}`, { signal: AbortSignal.timeout(1_000) });
+        await response.text();
+        return true;
+    }
+    catch {
+        return false;
+    }
+}
+
+export async function startProcessCluster(spec: ClusterSpec): Promise<ProcessCluster> {
+    const folder = mkdtempSync(join(tmpdir(), "rattanquay-lab-"));
+    mkdirSync(join(folder, "logs"));
+    const children = new Set<ChildProcess>();
+    const killAll = (): void => children.forEach(child => child.kill("SIGKILL"));
+    process.once("exit", killAll);
+
+    const run = (name: string, program: string, args: readonly string[]): ChildProcess => {
+        const log = openSync(join(folder, "logs", `${name}.log`), "a");
+        const child = spawn(process.execPath, [join(programsFolder(), program), ...args], {
+            stdio: ["ignore", log, log],
+            env: { ...process.env, ...entryEnvironment },
+        });
+        closeSync(log);
+        children.add(child);
+        child.once("exit", () => children.delete(child));
+        return child;
+    };
+
+    const runLab = async (name: string, args: readonly string[], probe: string): Promise<Member> => {
+        const port = await freePort();
+        const child = run(name, "rattanquay-lab.cjs", [...args, "--port", String(port)]);
+        await until(`${name} to listen`, startTimeoutMs, () => isUp(port, probe));
+        return { name, port, child };
+    };
+
+    const platformArgs = ["platform", "--list-lag-ms", String(spec.listLagMs)];
+    const rateArgs = spec.weightBytesPerSecond === undefined
+        ? []
+        : ["--weight-bytes-per-second", String(spec.weightBytesPerSecond)];
+    const platform = await runLab("platform", [...platformArgs, ...rateArgs], "/instances");
+    const engines = await Promise.all(
+        enginePlaces(spec).map(place =>
+            runLab(place.instance, [
+                "engine",
+                "--options",
+                JSON.stringify({ ...spec.engine, ...place, platformPort: platform.port }),
+            ], "/health")
+        ),
+    );
+    const services = await Promise.all(
+        Array.from(
+            { length: spec.services },
+            (unused, index) => runLab(`service-${index}`, ["service"], "/lab/bookings"),
+        ),
+    );
+
+    const startEntry = async (id: string, availabilityZone: string, ports: EntryPorts): Promise<EntryMember> => {
+        const file = join(folder, `${id}.json`);
+        writeFileSync(
+            file,
+            JSON.stringify(
+                settingsFor(spec, { id, availabilityZone, platformPort: platform.port, ports }),
+                undefined,
+                4,
+            ),
+        );
+        const child = run(id, "rattanquay.cjs", ["serve", "--settings", file]);
+        await until(`${id} to listen`, startTimeoutMs, () => isUp(ports.operators, "/healthz"));
+        return { name: id, port: ports.callers, child, availabilityZone, ports };
+    };
+
+    const entries = await Promise.all(
+        entryNames(spec).map(async ({ id, availabilityZone }) =>
+            startEntry(id, availabilityZone, {
+                callers: await freePort(),
+                operators: await freePort(),
+                peers: await freePort(),
+            })
+        ),
+    );
+    const cluster: ProcessCluster = {
+        folder,
+        platform,
+        engines,
+        services,
+        entries,
+        restartEntry: async name => {
+            const index = entries.findIndex(entry => entry.name === name);
+            const { availabilityZone, ports } = entries[index]!;
+            entries[index] = await startEntry(name, availabilityZone, ports);
+        },
+        stop: async () => {
+            killAll();
+            process.off("exit", killAll);
+        },
+    };
+    const operatorPorts = entries.map(entry => entry.ports.operators);
+    const ticket = ticketFor(spec, { ticket: 1, servicePorts: services.map(service => service.port) });
+    writeFileSync(join(folder, "ticket-1.json"), JSON.stringify(ticket, undefined, 4));
+    await until(
+        "ticket 1 to be accepted",
+        serveTimeoutMs,
+        async () => (await submit(operatorPorts[0]!, ticket)).kind === "accepted",
+    );
+    await untilServing(operatorPorts, "assistant", spec.replicasPerZone, serveTimeoutMs);
+    return cluster;
+}
--- /dev/null
+++ b/packages/lab/src/cluster/until.ts
@@ -0,0 +1,18 @@
+import { sleep, systemTimer } from "@rattanquay/timer";
+
+const pollMs = 25;
+
+/** Waits until `condition` holds; says what it waited for when that takes longer than `timeoutMs`. */
+export async function until(
+    what: string,
+    timeoutMs: number,
+    condition: () => boolean | Promise<boolean>,
+): Promise<void> {
+    const deadlineMs = systemTimer.nowMs() + timeoutMs;
+    while (!await condition()) {
+        if (systemTimer.nowMs() > deadlineMs) {
+            throw new Error(`waited ${timeoutMs} ms for: ${what}`);
+        }
+        await sleep(systemTimer, pollMs);
+    }
+}
--- /dev/null
+++ b/packages/lab/src/engine/batch.ts
@@ -0,0 +1,110 @@
+/** Continuous batching: each step yields one token for each running sequence and takes longer the more there are. */
+import { type Cancel, type Timer } from "@rattanquay/timer";
+
+/** One request inside the engine. */
+export type Sequence = {
+    readonly id: string;
+    /** A larger number is taken in first. */
+    readonly priority: number;
+    readonly promptTokens: number;
+    readonly prefix: string;
+    readonly from: number;
+    readonly length: number;
+    readonly onToken: (index: number) => void;
+    readonly onEnd: () => void;
+};
+
+export type BatchOptions = {
+    readonly maxRunning: number;
+    readonly stepBaseMs: number;
+    readonly stepPerSequenceMs: number;
+    readonly prefillTokensPerMs: number;
+    readonly cachedPrefixes: number;
+};
+
+type Running = { readonly sequence: Sequence; next: number };
+
+export class Batch {
+    private waiting: Sequence[] = [];
+    private running: Running[] = [];
+    private readonly prefixes = new Set<string>();
+    private stepping = false;
+    private cancelStep: Cancel = () => undefined;
+    private nextStepAtMs = 0;
+    /** Multiplies every step; above 1 the engine is slow. */
+    slowFactor = 1;
+
+    constructor(private readonly timer: Timer, private readonly options: BatchOptions) {}
+
+    get load(): { readonly running: number; readonly waiting: number } {
+        return { running: this.running.length, waiting: this.waiting.length };
+    }
+
+    add(sequence: Sequence): void {
+        const position = this.waiting.findIndex(other => other.priority < sequence.priority);
+        this.waiting.splice(position < 0 ? this.waiting.length : position, 0, sequence);
+        if (!this.stepping) {
+            this.stepping = true;
+            this.nextStepAtMs = this.timer.nowMs();
+            this.scheduleStep();
+        }
+    }
+
+    cancel(id: string): void {
+        this.waiting = this.waiting.filter(sequence => sequence.id !== id);
+        this.running = this.running.filter(({ sequence }) => sequence.id !== id);
+    }
+
+    stop(): void {
+        this.cancelStep();
+        this.stepping = false;
+        this.waiting = [];
+        this.running = [];
+    }
+
+    private scheduleStep(): void {
+        const prefillMs = this.takeIn();
+        const { stepBaseMs, stepPerSequenceMs } = this.options;
+        const durationMs = (stepBaseMs + stepPerSequenceMs * this.running.length + prefillMs) * this.slowFactor;
+        this.nextStepAtMs += durationMs;
+        this.cancelStep = this.timer.after(
+            Math.max(0, this.nextStepAtMs - this.timer.nowMs()),
+            () => this.finishStep(),
+        );
+    }
+
+    private takeIn(): number {
+        let prefillMs = 0;
+        while (this.running.length < this.options.maxRunning && this.waiting.length > 0) {
+            const sequence = this.waiting.shift()!;
+            this.running.push({ sequence, next: sequence.from });
+            prefillMs += this.prefillMs(sequence);
+        }
+        return prefillMs;
+    }
+
+    private prefillMs(sequence: Sequence): number {
+        const hit = this.prefixes.delete(sequence.prefix);
+        this.prefixes.add(sequence.prefix);
+        if (this.prefixes.size > this.options.cachedPrefixes) {
+            this.prefixes.delete(this.prefixes.values().next().value!);
+        }
+        const tokens = hit ? Math.min(1, sequence.promptTokens) : sequence.promptTokens + sequence.from;
+        return tokens / this.options.prefillTokensPerMs;
+    }
+
+    private finishStep(): void {
+        for (const entry of [...this.running]) {
+            entry.sequence.onToken(entry.next++);
+            if (entry.next >= entry.sequence.length) {
+                this.running = this.running.filter(other => other !== entry);
+                entry.sequence.onEnd();
+            }
+        }
+        if (this.running.length + this.waiting.length === 0) {
+            this.stepping = false;
+            return;
+        }
+        this.scheduleStep();
+    }
+}
--- /dev/null
+++ b/packages/lab/src/experiments/overhead.ts
@@ -0,0 +1,3 @@
+import { type Experiment } from "./experiment";
+
+export const overhead: Experiment = async () => 1;
--- /dev/null
+++ b/packages/lab/src/index.ts
@@ -0,0 +1,6 @@
+/** Stand-ins, load, faults and experiments as functions. */
+export * from "./cluster";
+export * from "./engine";
+export * from "./load";
+export * from "./platform";
+export * from "./service";
--- /dev/null
+++ b/packages/lab/src/load/caller.ts
@@ -0,0 +1,162 @@
+/** One call as a caller makes it, with everything about its answer that a check or a measurement needs. */
+import { systemTimer } from "@rattanquay/timer";
+import { createParser } from "eventsource-parser";
+import { Agent, request as httpRequest } from "node:http";
+import { callerKey } from "../cluster/clusterSpec";
+
+export type ChatRequest = {
+    readonly port: number;
+    readonly model?: string;
+    readonly messages: readonly { readonly role: string; readonly content: string }[];
+    readonly maxTokens: number;
+    /** The true length of the answer, known to the engine alone. */
+    readonly length?: number;
+    readonly key?: string;
+    readonly requestId?: string;
+    readonly onToken?: (index: number) => void;
+};
+
+export type CallResult = {
+    readonly status: number;
+    readonly requestId: string | undefined;
+    readonly text: string;
+    readonly tokens: number;
+    readonly whole: boolean;
+    /** The error's code, from the body or from an error event. */
+    readonly errorCode: string | undefined;
+    readonly retryAfter: string | undefined;
+    readonly firstTokenMs: number | undefined;
+    readonly betweenTokensMs: number | undefined;
+    readonly totalMs: number;
+};
+
+const agent = new Agent({ keepAlive: true, maxSockets: Infinity });
+const callTimeoutMs = 120_000;
+
+/** Makes a streamed chat completion; never rejects. */
+export function callChat(call: ChatRequest): Promise<CallResult> {
+    const startMs = systemTimer.nowMs();
+    const body = JSON.stringify({
+        model: call.model ?? "assistant",
+        messages: call.messages,
+        stream: true,
+        max_tokens: call.maxTokens,
+        ...(call.length === undefined ? {} : { lab_length: call.length }),
+    });
+    return new Promise(resolve => {
+        const parts: string[] = [];
+        let firstAtMs: number | undefined;
+        let lastAtMs = startMs;
+        let done = false;
+        let finishSeen = false;
+        let errorCode: string | undefined;
+        let status = 0;
+        let headers: Record<string, string | string[] | undefined> = {};
+        let raw = "";
+        const finish = (): void => {
+            const totalMs = systemTimer.nowMs() - startMs;
+            resolve({
+                status,
+                requestId: headers["x-request-id"] as string | undefined,
+                text: parts.join(""),
+                tokens: parts.length,
+                whole: done && finishSeen && errorCode === undefined,
+                errorCode: errorCode ?? (status === 200 ? undefined : codeOf(raw)),
+                retryAfter: headers["retry-after"] as string | undefined,
+                firstTokenMs: firstAtMs === undefined ? undefined : firstAtMs - startMs,
+                betweenTokensMs: firstAtMs === undefined || parts.length < 2
+                    ? undefined
+                    : (lastAtMs - firstAtMs) / (parts.length - 1),
+                totalMs,
+            });
+        };
+        const parser = createParser({
+            onEvent: ({ data }) => {
+                if (data === "[DONE]") {
+                    done = true;
+                    return;
+                }
+                const event = JSON.parse(data) as StreamEvent;
+                errorCode ??= event.error?.code;
+                finishSeen ||= typeof event.choices?.[0]?.finish_reason === "string";
+                const content = event.choices?.[0]?.delta?.content;
+                if (content !== undefined && content !== "") {
+                    lastAtMs = systemTimer.nowMs();
+                    firstAtMs ??= lastAtMs;
+                    parts.push(content);
+                    call.onToken?.(parts.length);
+                }
+            },
+        });
+        const request = httpRequest(`http://127.0.0.1:${call.port}/v1/chat/completions`, {
+            method: "POST",
+            agent,
+            headers: {
+                "content-type": "application/json",
+                authorization: `Bearer ${call.key ?? callerKey}`,
+                ...(call.requestId === undefined ? {} : { "x-request-id": call.requestId }),
+            },
+            signal: AbortSignal.timeout(callTimeoutMs),
+        }, response => {
+            status = response.statusCode ?? 0;
+            headers = response.headers;
+            response.setEncoding("utf8");
+            response.on("data", (text: string) => status === 200 ? parser.feed(text) : raw += text);
+            response.on("close", finish);
+            response.on("error", () => undefined);
+        });
+        request.on("error", finish);
+        request.end(body);
+    });
+}
+
+type StreamEvent = {
+    readonly error?: { readonly code: string };
+    readonly choices?: readonly {
+        readonly delta?: { readonly content?: string };
+        readonly finish_reason?: string | null;
+    }[];
+};
+
+function codeOf(raw: string): string | undefined {
+    try {
+        return (JSON.parse(raw) as { readonly error?: { readonly code?: string } }).error?.code;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+export type ServiceCall = {
+    readonly port: number;
+    readonly path: string;
+    readonly method?: string;
+    readonly body?: string;
+    readonly idempotencyKey?: string;
+    readonly requestId?: string;
+    readonly key?: string;
+};
+
+/** Calls a plain service; never rejects, and says `status` 0 when no answer came. */
+export async function callService(
+    call: ServiceCall,
+): Promise<{ readonly status: number; readonly body: string; readonly errorCode: string | undefined }> {
+    try {
+        const response = await fetch(`http://127.0.0.1:${call.port}${call.path}`, {
+            method: call.method ?? "POST",
+            headers: {
+                "content-type": "application/json",
+                authorization: `Bearer ${call.key ?? callerKey}`,
+                ...(call.idempotencyKey === undefined ? {} : { "idempotency-key": call.idempotencyKey }),
+                ...(call.requestId === undefined ? {} : { "x-request-id": call.requestId }),
+            },
+            signal: AbortSignal.timeout(callTimeoutMs),
+            ...(call.body === undefined ? {} : { body: call.body }),
+        });
+        const body = await response.text();
+        return { status: response.status, body, errorCode: response.ok ? undefined : codeOf(body) };
+    }
+    catch {
+        return { status: 0, body: "", errorCode: undefined };
+    }
+}
--- /dev/null
+++ b/packages/lab/src/load/index.ts
@@ -0,0 +1,2 @@
+/** Callers: one call at a time, or an open-loop load. */
+export { callChat, type CallResult, callService, type ChatRequest } from "./caller";
--- /dev/null
+++ b/packages/lab/src/runLabCommand.ts
@@ -0,0 +1,66 @@
+/** Finds a lab command and runs it; stand-ins run until they are ended. */
+import { parseArgs } from "node:util";
+import { demo } from "./demo";
+import { type EngineOptions, startEngine } from "./engine";
+import { runExperiment } from "./experiments";
+import { startPlatform } from "./platform";
+import { startService } from "./service";
+
+type LabCommand = { readonly usage: string; readonly run: (args: readonly string[]) => Promise<number | undefined> };
+
+const commands: Readonly<Record<string, LabCommand>> = {
+    demo: { usage: "demo", run: demo },
+    platform: { usage: "platform --port N [--list-lag-ms N] [--weight-bytes-per-second N]", run: runPlatform },
+    engine: { usage: "engine --port N --options JSON", run: runEngine },
+    service: { usage: "service --port N", run: runService },
+    experiment: {
+        usage: "experiment NAME [--seed N] [--workload FILE] [--policy NAME] [--seconds N] [--json]",
+        run: runExperiment,
+    },
+};
+
+export async function runLabCommand(args: readonly string[]): Promise<number | undefined> {
+    const command = commands[args[0] ?? ""];
+    if (command === undefined) {
+        const lines = Object.values(commands).map(({ usage }) => `  rattanquay-lab ${usage}`);
+        process.stderr.write(`Usage:\n${lines.join("\n")}\n`);
+        return args[0] === "--help" ? 0 : 2;
+    }
+    try {
+        return await command.run(args.slice(1));
+    }
+    catch (error) {
+        process.stderr.write(`${(error as Error).stack}\n`);
+        return 1;
+    }
+}
+
+async function runPlatform(args: readonly string[]): Promise<undefined> {
+    const { values } = parseArgs({
+        args: [...args],
+        options: {
+            port: { type: "string" },
+            "list-lag-ms": { type: "string" },
+            "weight-bytes-per-second": { type: "string" },
+        },
+    });
+    const rate = values["weight-bytes-per-second"];
+    await startPlatform({
+        port: Number(values.port ?? 0),
+        listLagMs: Number(values["list-lag-ms"] ?? 1_000),
+        ...(rate === undefined ? {} : { weightBytesPerSecond: Number(rate) }),
+    });
+}
+
+async function runEngine(args: readonly string[]): Promise<undefined> {
+    const { values } = parseArgs({
+        args: [...args],
+        options: { port: { type: "string" }, options: { type: "string" } },
+    });
+    await startEngine({ ...JSON.parse(values.options ?? "{}") as EngineOptions, port: Number(values.port ?? 0) });
+}
+
+async function runService(args: readonly string[]): Promise<undefined> {
+    const { values } = parseArgs({ args: [...args], options: { port: { type: "string" } } });
+    await startService({ port: Number(values.port ?? 0) });
+}
--- /dev/null
+++ b/packages/platform/src/dynamoTable.ts
@@ -0,0 +1,170 @@
+/** The table over the DynamoDB interface, by its published client. */
+import {
+    type AttributeValue,
+    DynamoDBClient,
+    GetItemCommand,
+    QueryCommand,
+    type TransactWriteItem,
+    TransactWriteItemsCommand,
+} from "@aws-sdk/client-dynamodb";
+import { type Condition, type Key, type Row, type Stored, type Table, type TableOutcome, type Write } from "./table";
+
+type Options = {
+    readonly endpoint: string;
+    readonly region: string;
+    readonly tableName: string;
+    readonly timeoutMs: number;
+    /** Credentials; the platform's usual environment variables are read when absent. */
+    readonly credentials?: { readonly accessKeyId: string; readonly secretAccessKey: string };
+};
+
+/** Error names by which the interface says that a condition did not hold. */
+const conflictNames = new Set([
+    "TransactionCanceledException",
+    "ConditionalCheckFailedException",
+    "TransactionConflictException",
+]);
+
+/** The lock file holds the client's version; its notice about later ones would only disturb the logs. */
+const noticeSwitch = "AWS_SDK_JS_NODE_VERSION_SUPPORT_WARNING_DISABLED";
+
+/** Makes the table's client. It never retries by itself: the callers decide what may be repeated. */
+export function makeDynamoTable(options: Options): Table {
+    process.env[noticeSwitch] ??= "true";
+    const client = new DynamoDBClient({
+        endpoint: options.endpoint,
+        region: options.region,
+        maxAttempts: 1,
+        ...(options.credentials === undefined ? {} : { credentials: options.credentials }),
+    });
+    const run = async <T>(call: (abortSignal: AbortSignal) => Promise<T>): Promise<TableOutcome<T>> => {
+        try {
+            return { kind: "done", value: await call(AbortSignal.timeout(options.timeoutMs)) };
+        }
+        catch (error) {
+            return failure(error);
+        }
+    };
+    return {
+        read: key =>
+            run(async abortSignal => {
+                const command = new GetItemCommand({
+                    TableName: options.tableName,
+                    Key: keyItem(key),
+                    ConsistentRead: true,
+                });
+                const { Item } = await client.send(command, { abortSignal });
+                return Item === undefined ? undefined : fromItem(Item);
+            }),
+        list: partition => run(abortSignal => listAll(client, options.tableName, partition, abortSignal)),
+        transact: (writes, requestToken) =>
+            run(async abortSignal => {
+                const TransactItems = writes.map(write => toTransactItem(options.tableName, write));
+                await client.send(new TransactWriteItemsCommand({ TransactItems, ClientRequestToken: requestToken }), {
+                    abortSignal,
+                });
+            }),
+        stop: () => client.destroy(),
+    };
+}
+
+async function listAll(
+    client: DynamoDBClient,
+    tableName: string,
+    partition: string,
+    abortSignal: AbortSignal,
+): Promise<readonly Stored[]> {
+    const rows: Stored[] = [];
+    let from: Record<string, AttributeValue> | undefined;
+    do {
+        const page = await client.send(
+            new QueryCommand({
+                TableName: tableName,
+                KeyConditionExpression: "#partition = :partition",
+                ExpressionAttributeNames: { "#partition": "partition" },
+                ExpressionAttributeValues: { ":partition": { S: partition } },
+                ConsistentRead: true,
+                ExclusiveStartKey: from,
+            }),
+            { abortSignal },
+        );
+        rows.push(...(page.Items ?? []).map(fromItem));
+        from = page.LastEvaluatedKey;
+    }
+    while (from !== undefined);
+    return rows;
+}
+
+function failure(error: unknown): TableOutcome<never> {
+    const { name, message } = error as Error;
+    return conflictNames.has(name) ? { kind: "conflict" } : { kind: "unavailable", reason: `${name}: ${message}` };
+}
+
+function keyItem(key: Key): Record<string, AttributeValue> {
+    return { partition: { S: key.partition }, key: { S: key.key } };
+}
+
+function toItem(key: Key, row: Row): Record<string, AttributeValue> {
+    return {
+        ...keyItem(key),
+        version: { N: String(row.version) },
+        token: { S: row.token },
+        body: { S: JSON.stringify(row.body) },
+        ...(row.fence === undefined ? {} : { fence: { N: String(row.fence) } }),
+    };
+}
+
+function fromItem(item: Record<string, AttributeValue>): Stored {
+    return {
+        partition: item.partition?.S ?? "",
+        key: item.key?.S ?? "",
+        version: Number(item.version?.N),
+        token: item.token?.S ?? "",
+        body: JSON.parse(item.body?.S ?? "null"),
+        ...(item.fence?.N === undefined ? {} : { fence: Number(item.fence.N) }),
+    };
+}
+
+type Expression = {
+    readonly ConditionExpression: string;
+    readonly ExpressionAttributeNames: Record<string, string>;
+    readonly ExpressionAttributeValues?: Record<string, AttributeValue>;
+};
+
+const expressions = {
+    absent: () => ({
+        ConditionExpression: "attribute_not_exists(#field)",
+        ExpressionAttributeNames: { "#field": "key" },
+    }),
+    versionIs: condition => equals("version", condition.version),
+    fenceIs: condition => equals("fence", condition.fence),
+} satisfies { [K in Condition["kind"]]: (condition: Extract<Condition, { kind: K }>) => Expression };
+
+function equals(field: string, value: number): Expression {
+    return {
+        ConditionExpression: "#field = :value",
+        ExpressionAttributeNames: { "#field": field },
+        ExpressionAttributeValues: { ":value": { N: String(value) } },
+    };
+}
+
+function expressionOf(condition: Condition | undefined): Partial<Expression> {
+    if (condition === undefined) {
+        return {};
+    }
+    return (expressions[condition.kind] as (condition: Condition) => Expression)(condition);
+}
+
+const transactItems = {
+    put: (TableName, write) => ({
+        Put: { TableName, Item: toItem(write.at, write.row), ...expressionOf(write.condition) },
+    }),
+    remove: (TableName, write) => ({ Delete: { TableName, Key: keyItem(write.at), ...expressionOf(write.condition) } }),
+    check: (TableName, write) => ({
+        ConditionCheck: { TableName, Key: keyItem(write.at), ...expressionOf(write.condition) as Expression },
+    }),
+} satisfies { [K in Write["kind"]]: (tableName: string, write: Extract<Write, { kind: K }>) => TransactWriteItem };
+
+function toTransactItem(tableName: string, write: Write): TransactWriteItem {
+    return (transactItems[write.kind] as (tableName: string, write: Write) => TransactWriteItem)(tableName, write);
+}
--- /dev/null
+++ b/packages/schema/src/index.ts
@@ -0,0 +1,8 @@
+/** The shapes that packages share: settings, tickets, rows, engine and peer messages, outcomes. */
+export * from "./check";
+export * from "./engine";
+export * from "./fleet";
+export * from "./outcome";
+export * from "./rows";
+export * from "./settings";
+export * from "./ticket";
--- /dev/null
+++ b/packages/schema/src/rows.ts
@@ -0,0 +1,83 @@
+/** Rows in the platform's table. `version` grows with each write; `token` names the write, so that a lost answer can be settled. */
+import { z } from "zod";
+import { Recall, Service, Workspace } from "./ticket";
+
+/** The head of the configuration: its revision grows by one with each accepted ticket. */
+export const HeadRow = z.object({ revision: z.number(), highestTicket: z.number() });
+export type HeadRow = z.infer<typeof HeadRow>;
+
+/** The state of one subject, by the newest ticket that touched it; removed subjects stay as tombstones. */
+export const SubjectRow = z.discriminatedUnion("kind", [
+    z.object({
+        kind: z.literal("service"),
+        name: z.string(),
+        ticket: z.number(),
+        revision: z.number(),
+        state: Service.optional(),
+    }),
+    z.object({
+        kind: z.literal("workspace"),
+        name: z.string(),
+        ticket: z.number(),
+        revision: z.number(),
+        state: Workspace.optional(),
+    }),
+    z.object({
+        kind: z.literal("recall"),
+        name: z.string(),
+        ticket: z.number(),
+        revision: z.number(),
+        state: Recall.optional(),
+    }),
+]);
+export type SubjectRow = z.infer<typeof SubjectRow>;
+
+/** An accepted ticket. `digest` is over its canonical content. */
+export const TicketRow = z.object({
+    ticket: z.number(),
+    digest: z.string(),
+    revision: z.number(),
+    author: z.string(),
+    reason: z.string(),
+    subjects: z.array(z.string()),
+    content: z.unknown(),
+});
+export type TicketRow = z.infer<typeof TicketRow>;
+
+/** A zone's control lease. The fencing number only grows. */
+export const LeaseRow = z.object({ holder: z.string(), fence: z.number(), renewal: z.number(), leaseMs: z.number() });
+export type LeaseRow = z.infer<typeof LeaseRow>;
+
+const Member = z.object({ instance: z.string(), address: z.string(), bootId: z.string() });
+export type Member = z.infer<typeof Member>;
+
+/** A group: the instances that make up one replica. The first member takes the requests. */
+export const GroupRow = z.object({
+    group: z.string(),
+    service: z.string(),
+    availabilityZone: z.string(),
+    fabricDomain: z.string(),
+    fence: z.number(),
+    model: z.string(),
+    version: z.string(),
+    adapter: z.string().optional(),
+    state: z.enum(["active", "draining"]),
+    members: z.array(Member),
+});
+export type GroupRow = z.infer<typeof GroupRow>;
+
+/** Who owns an instance. A row without a group is free. */
+export const InstanceRow = z.object({ instance: z.string(), group: z.string().optional(), fence: z.number() });
+export type InstanceRow = z.infer<typeof InstanceRow>;
+
+/** A claim on a call that may run at most once, and its outcome once that is known. */
+export const ClaimRow = z.object({
+    requestId: z.string(),
+    process: z.string(),
+    digest: z.string(),
+    state: z.enum(["claimed", "answered", "notRun"]),
+    status: z.number().optional(),
+    contentType: z.string().optional(),
+    body: z.string().optional(),
+});
+export type ClaimRow = z.infer<typeof ClaimRow>;
--- /dev/null
+++ b/packages/task/src/feed.ts
@@ -0,0 +1,24 @@
+/** A value that one task publishes and others read or follow. Values are immutable. */
+export type Feed<T> = {
+    readonly latest: () => T;
+    /** Calls `listener` with each value published from now on. */
+    readonly subscribe: (listener: (value: T) => void) => void;
+};
+
+/** The publishing end of a feed. */
+export type Source<T> = Feed<T> & { readonly publish: (value: T) => void };
+
+export function makeSource<T>(initial: T): Source<T> {
+    let value = initial;
+    const listeners = new Set<(value: T) => void>();
+    return {
+        latest: () => value,
+        subscribe: listener => {
+            listeners.add(listener);
+        },
+        publish: next => {
+            value = next;
+            listeners.forEach(listener => listener(next));
+        },
+    };
+}
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,4 @@
+/** Logs, metrics and traces of one process. */
+export { type Log, makeLog, silentLog } from "./log";
+export { makeMetrics, type Metrics } from "./metrics";
+export { makeTracing, type Span, type Tracing } from "./tracing";
--- /dev/null
+++ b/packages/telemetry/src/metrics.ts
@@ -0,0 +1,83 @@
+/** The metrics of one process, in a registry of its own. Names and meanings: docs/reference/metrics.md. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const firstTokenBuckets = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 0.93, 1.5, 3, 10];
+const betweenTokensBuckets = [0.005, 0.01, 0.02, 0.03, 0.052, 0.1, 0.2, 0.5, 2];
+
+/** Makes the metrics; each is registered once. */
+export function makeMetrics() {
+    const registry = new Registry();
+    const registers = [registry];
+    return {
+        registry,
+        requests: new Counter({
+            name: "rattanquay_requests_total",
+            help: "Requests by service and how they ended.",
+            labelNames: ["service", "ending", "code"],
+            registers,
+        }),
+        attempts: new Counter({
+            name: "rattanquay_attempts_total",
+            help: "Attempts at an upstream by service and result.",
+            labelNames: ["service", "result"],
+            registers,
+        }),
+        tokens: new Counter({
+            name: "rattanquay_relayed_tokens_total",
+            help: "Streamed chunks relayed.",
+            labelNames: ["service"],
+            registers,
+        }),
+        firstToken: new Histogram({
+            name: "rattanquay_first_token_seconds",
+            help: "From the request's arrival to the first token.",
+            labelNames: ["service", "workClass"],
+            buckets: firstTokenBuckets,
+            registers,
+        }),
+        betweenTokens: new Histogram({
+            name: "rattanquay_between_tokens_seconds",
+            help: "Mean time between tokens of an answer.",
+            labelNames: ["service"],
+            buckets: betweenTokensBuckets,
+            registers,
+        }),
+        inFlight: new Gauge({
+            name: "rattanquay_in_flight_requests",
+            help: "Requests being served.",
+            labelNames: ["service"],
+            registers,
+        }),
+        queued: new Gauge({
+            name: "rattanquay_queued_requests",
+            help: "Requests waiting for a replica.",
+            labelNames: ["service"],
+            registers,
+        }),
+        replicas: new Gauge({
+            name: "rattanquay_replicas",
+            help: "Replicas of this zone by service and state.",
+            labelNames: ["service", "state"],
+            registers,
+        }),
+        configRevision: new Gauge({
+            name: "rattanquay_config_revision",
+            help: "The configuration revision in force here.",
+            registers,
+        }),
+        platformErrors: new Counter({
+            name: "rattanquay_platform_errors_total",
+            help: "Platform calls that failed.",
+            labelNames: ["call"],
+            registers,
+        }),
+        peers: new Gauge({ name: "rattanquay_peers", help: "Peers by state.", labelNames: ["state"], registers }),
+        leaseHeld: new Gauge({
+            name: "rattanquay_lease_held",
+            help: "1 while this process holds its zone's control lease.",
+            registers,
+        }),
+    };
+}
+
+export type Metrics = ReturnType<typeof makeMetrics>;
--- /dev/null
+++ b/packages/telemetry/src/tracing.ts
@@ -0,0 +1,66 @@
+/** Traces with a span for each hop, carried by the W3C `traceparent` header in and out. */
+import { type Context, context, type Span, SpanKind, trace } from "@opentelemetry/api";
+import { W3CTraceContextPropagator } from "@opentelemetry/core";
+import { OTLPTraceExporter } from "@opentelemetry/exporter-trace-otlp-http";
+import { resourceFromAttributes } from "@opentelemetry/resources";
+import { BasicTracerProvider, BatchSpanProcessor } from "@opentelemetry/sdk-trace-base";
+
+export type { Span };
+
+type Carrier = Record<string, string | string[] | undefined>;
+
+/** Starts spans and moves them through headers. */
+export type Tracing = {
+    /** Starts the span of a request that came in; a `traceparent` among the headers becomes its parent. */
+    readonly startServer: (name: string, headers: Carrier) => Span;
+    /** Starts the span of a hop that goes out, below `parent`. */
+    readonly startClient: (name: string, parent: Span) => Span;
+    /** Headers by which the next hop continues the trace. */
+    readonly headersOf: (span: Span) => Record<string, string>;
+    readonly stop: () => Promise<void>;
+};
+
+type Options = { readonly endpoint: string | undefined; readonly process: string; readonly availabilityZone: string };
+
+/** Makes tracing for one process. Without an endpoint spans have ids and are carried on, but are sent nowhere. */
+export function makeTracing(options: Options): Tracing {
+    const provider = new BasicTracerProvider({
+        resource: resourceFromAttributes({
+            "service.name": "rattanquay",
+            "service.instance.id": options.process,
+            "cloud.availability_zone": options.availabilityZone,
+        }),
+        spanProcessors: options.endpoint === undefined
+            ? []
+            : [new BatchSpanProcessor(new OTLPTraceExporter({ url: options.endpoint }))],
+    });
+    const tracer = provider.getTracer("rattanquay");
+    const propagator = new W3CTraceContextPropagator();
+    const inside = (span: Span): Context => trace.setSpan(context.active(), span);
+    return {
+        startServer: (name, headers) =>
+            tracer.startSpan(
+                name,
+                { kind: SpanKind.SERVER },
+                propagator.extract(context.active(), headers, carrierGetter),
+            ),
+        startClient: (name, parent) => tracer.startSpan(name, { kind: SpanKind.CLIENT }, inside(parent)),
+        headersOf: span => {
+            const headers: Record<string, string> = {};
+            propagator.inject(inside(span), headers, carrierSetter);
+            return headers;
+        },
+        stop: () => provider.shutdown(),
+    };
+}
+
+const carrierGetter = {
+    get: (carrier: Carrier, key: string) => carrier[key],
+    keys: (carrier: Carrier) => Object.keys(carrier),
+};
+
+const carrierSetter = {
+    set: (carrier: Record<string, string>, key: string, value: string) => {
+        carrier[key] = value;
+    },
+};
--- /dev/null
+++ b/packages/timer/src/systemTimer.ts
@@ -0,0 +1,16 @@
+import { type Timer } from "./timer";
+
+/** The operating system's time. Subscriptions do not keep a process alive that has nothing else to do. */
+export const systemTimer: Timer = {
+    nowMs: () => performance.now(),
+    wallClock: () => new Date(),
+    after: (delayMs, action) => {
+        const handle = setTimeout(action, delayMs);
+        return () => clearTimeout(handle);
+    },
+    every: (periodMs, action) => {
+        const handle = setInterval(action, periodMs);
+        handle.unref();
+        return () => clearInterval(handle);
+    },
+};
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,49 @@
+/** Bundles both programs, then makes `dist/rattanquay`: a single file with Node inside that needs nothing beside it. */
+import { build } from "esbuild";
+import { execFileSync } from "node:child_process";
+import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
+import { createRequire } from "node:module";
+import { dirname, join } from "node:path";
+
+const seaFuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
+const { version } = JSON.parse(readFileSync("package.json", "utf8"));
+
+const bundle = (entryPoint, outfile) =>
+    build({
+        entryPoints: [entryPoint],
+        outfile,
+        bundle: true,
+        platform: "node",
+        target: "node20",
+        format: "cjs",
+        logLevel: "error",
+        define: { "process.env.RATTANQUAY_VERSION": JSON.stringify(version) },
+    });
+
+const makeBinary = () => {
+    const config = { main: "dist/rattanquay.cjs", output: "dist/sea.blob", disableExperimentalSEAWarning: true };
+    writeFileSync("dist/sea.json", JSON.stringify(config));
+    execFileSync(process.execPath, ["--experimental-sea-config", "dist/sea.json"], { stdio: "pipe" });
+    copyFileSync(process.execPath, "dist/rattanquay");
+    chmodSync("dist/rattanquay", 0o755);
+    const require = createRequire(import.meta.url);
+    const postject = join(dirname(require.resolve("postject/package.json")), "dist", "cli.js");
+    execFileSync(process.execPath, [
+        postject,
+        "dist/rattanquay",
+        "NODE_SEA_BLOB",
+        "dist/sea.blob",
+        "--sentinel-fuse",
+        seaFuse,
+    ], {
+        stdio: "pipe",
+    });
+};
+
+mkdirSync("dist", { recursive: true });
+await bundle("packages/cli/src/main.ts", "dist/rattanquay.cjs");
+await bundle("packages/lab/src/main.ts", "dist/rattanquay-lab.cjs");
+if (!process.argv.includes("--bundle-only")) {
+    makeBinary();
+    console.log("built dist/rattanquay");
+}
