Part the admission of chat completions from their relay

Cause: routing and relaying will change side by side. Change: chatAdmission.ts holds the estimate and the deadline.

--- a/packages/entry/src/callers/chat.ts
+++ b/packages/entry/src/callers/chat.ts
@@ -4,12 +4,11 @@
 import { randomUUID } from "node:crypto";
 import { parseJson, readBody } from "./body";
 import { type Reach } from "./callerDoor";
+import { admitChat } from "./chatAdmission";
 import { type Answer, makeStreamedAnswer, makeWholeAnswer } from "./chatAnswer";
 import { attemptChat, type AttemptResult } from "./chatAttempt";
 import { type Conclusion, type Exchange, refuse } from "./exchange";
 
-const longFromTokens = 512;
-const defaultMaxTokens = 256;
 const maxAttempts = 4;
 
 export async function serveChat(exchange: Exchange, workspace: string, reach: Reach): Promise<Conclusion> {
@@ -58,7 +57,7 @@
     budget.noteFirstAttempt();
     for (let attempt = 1;; attempt++) {
         const id = `${exchange.requestId}/${randomUUID()}`;
-        const grant = await admit(exchange, workspace, call, service, id, tried, reach);
+        const grant = await admitChat(exchange, workspace, call, service, id, tried, reach);
         if (grant.kind === "refused") {
             return giveUp(exchange, answer, ran, grant.code, grant.retryAfterMs);
         }
@@ -83,27 +82,6 @@
     }
 }
 
-function admit(
-    exchange: Exchange,
-    workspace: string,
-    call: ChatCall,
-    service: ModelService,
-    id: string,
-    tried: ReadonlySet<string>,
-    { dispatch }: Reach,
-) {
-    const maxTokens = call.max_completion_tokens ?? call.max_tokens ?? defaultMaxTokens;
-    return dispatch.admit({
-        id,
-        service: exchange.service,
-        workspace,
-        workClass: maxTokens >= longFromTokens ? "long" : "short",
-        priority: service.priority,
-        startByMs: exchange.arrivedAtMs + service.target.firstTokenMs,
-        avoid: tried,
-    });
-}
-
 async function runAttempt(
     exchange: Exchange,
     call: ChatCall,
