Link the entry instances: membership, shared evidence, passed-on state, spill

Change: packages/peer (frames, proof of both sides by HMAC over the exact hellos, version range, bounded frames, TLS by settings); core/membership and core/evidence; entry/peers; the fleet task parted into reading, judging and probing, shares by rendezvous hashing; ticket status; one-hop spill; readiness only once the state is not older than that of the peers.

Before: 0 tests of peers.

Conclusion: the path stands on linked processes; fuzzing and cuts follow.

--- a/packages/core/src/evidence/index.ts
+++ b/packages/core/src/evidence/index.ts
@@ -1,2 +1,5 @@
-/** Whether a group may be given work, judged by evidence alone. */
+/** What instances said of themselves, from own probes and from peers, and whether a group may be given work on it. */
+export { earliestSendingMs, type Sendings } from "./earliestSending";
+export { type EvidenceBook, makeEvidenceBook } from "./evidenceBook";
 export { type Evidence, judgeGroup, type Standing, type Surroundings } from "./judgeGroup";
+export { type Finding, makeNewsLedger, type NewsLedger } from "./newsLedger";
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./evidence";
 export * from "./groups";
 export * from "./lease";
+export * from "./membership";
 export * from "./outcomes";
 export * from "./routing";
 export * from "./tickets";
--- /dev/null
+++ b/packages/core/src/membership/peerTargets.ts
@@ -0,0 +1,28 @@
+/** Whom a process keeps links to: everyone in its zone, and a few in each other zone. */
+import { type EntryPlace } from "@rattanquay/schema";
+import { chooseByRendezvous, type Hash } from "./rendezvous";
+
+type Options = {
+    readonly process: string;
+    readonly availabilityZone: string;
+    readonly linksPerOtherZone: number;
+    readonly hash: Hash;
+    /** Places that cannot be reached at present; others of their zone take their turn. */
+    readonly unreachable: ReadonlySet<string>;
+};
+
+/** Across zones the choice differs by process, so that links and spilled work spread over the other zone. */
+export function peerTargets(places: readonly EntryPlace[], options: Options): readonly EntryPlace[] {
+    const others = places.filter(place => place.process !== options.process);
+    const zones = new Set(others.map(place => place.availabilityZone));
+    return [...zones].flatMap(zone => {
+        const members = others.filter(place => place.availabilityZone === zone);
+        if (zone === options.availabilityZone) {
+            return members;
+        }
+        const reachable = members.filter(member => !options.unreachable.has(member.process));
+        const names = (reachable.length === 0 ? members : reachable).map(member => member.process);
+        const chosen = new Set(chooseByRendezvous(options.process, names, options.linksPerOtherZone, options.hash));
+        return members.filter(member => chosen.has(member.process));
+    });
+}
--- a/packages/entry/src/callers/callerDoor.ts
+++ b/packages/entry/src/callers/callerDoor.ts
@@ -28,6 +28,8 @@
     readonly dispatch: Dispatch;
     readonly claims: Claims;
     readonly retryBudget: RetryBudget;
+    /** The caller address of an entry instance in another zone where the service is served. */
+    readonly spillTarget: (service: string) => string | undefined;
 };
 
 type Handler = (exchange: Exchange, workspace: string, reach: Reach) => Promise<Conclusion>;
@@ -41,9 +43,10 @@
     configuration: Feed<Configuration>,
     dispatch: Dispatch,
     isReady: () => boolean,
+    spillTarget: Reach["spillTarget"],
 ): Promise<CallerDoor> {
     const retryBudget = makeRetryBudget(surroundings.settings.limits.retryShare);
-    const reach: Reach = { surroundings, dispatch, claims: makeClaims(surroundings), retryBudget };
+    const reach: Reach = { surroundings, dispatch, claims: makeClaims(surroundings), retryBudget, spillTarget };
     let inFlight = 0;
     let draining = false;
     let onIdle: () => void = () => undefined;
--- a/packages/entry/src/callers/chat.ts
+++ b/packages/entry/src/callers/chat.ts
@@ -8,6 +8,7 @@
 import { type Answer, makeStreamedAnswer, makeWholeAnswer } from "./chatAnswer";
 import { attemptChat, type AttemptResult } from "./chatAttempt";
 import { type Conclusion, type Exchange, refuse } from "./exchange";
+import { spill } from "./spill";
 
 const maxAttempts = 4;
 
@@ -59,7 +60,10 @@
         const id = `${exchange.requestId}/${randomUUID()}`;
         const grant = await admitChat(exchange, workspace, call, service, id, tried, reach);
         if (grant.kind === "refused") {
-            return giveUp(exchange, answer, ran, grant.code, grant.retryAfterMs);
+            const spilled = ran ? undefined : await spill(exchange, call, answer, reach);
+            return spilled === undefined || spilled.kind === "unreached"
+                ? giveUp(exchange, answer, ran, grant.code, grant.retryAfterMs)
+                : concludeSpilled(exchange, answer, spilled);
         }
         const result = await runAttempt(exchange, call, grant.replica, id, answer, reach);
         reach.dispatch.release(id);
@@ -118,6 +122,21 @@
     return result;
 }
 
+/** How a request ends that another zone has taken on. It may have run there, whatever went wrong. */
+function concludeSpilled(exchange: Exchange, answer: Answer, result: AttemptResult): Conclusion {
+    if (result.kind === "whole") {
+        return { ending: "answered", code: "spilled" };
+    }
+    if (result.kind === "callerGone") {
+        return { ending: "unknown", code: "callerGone" };
+    }
+    if (result.kind === "rejected") {
+        answer.passRejection(result.status, result.body);
+        return { ending: "notRun", code: `upstream${result.status}` };
+    }
+    return giveUp(exchange, answer, true, "upstreamFailed");
+}
+
 function giveUp(
     exchange: Exchange,
     answer: Answer,
--- a/packages/entry/src/config/index.ts
+++ b/packages/entry/src/config/index.ts
@@ -1,2 +1,2 @@
 /** Keeping the configuration in force here. */
-export { type Configuration, startConfig } from "./configTask";
+export { type Config, type Configuration, startConfig } from "./configTask";
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,12 +3,14 @@
 import { type Settings } from "@rattanquay/schema";
 import { type Log, makeMetrics, makeTracing } from "@rattanquay/telemetry";
 import { sleep, type Timer } from "@rattanquay/timer";
+import makeXxhash from "xxhash-wasm";
 import { startCallerDoor } from "./callers";
 import { startConfig } from "./config";
 import { startControl } from "./control";
 import { startDispatch } from "./dispatch";
 import { startFleet } from "./fleet";
 import { startOperatorDoor } from "./operators";
+import { type Peers, startPeers } from "./peers";
 import { type Surroundings } from "./surroundings";
 
 export type EntryOptions = {
@@ -26,6 +28,9 @@
 export type Entry = {
     readonly callerPort: number;
     readonly operatorPort: number;
+    readonly peerPort: number;
+    /** Bytes and messages over peer links since the start. */
+    readonly peerTraffic: Peers["traffic"];
     readonly isReady: () => boolean;
     /** Ends gracefully: leaves the balancer, lets running requests finish, then stops. */
     readonly stop: () => Promise<void>;
@@ -35,17 +40,30 @@
 export async function startEntry(options: EntryOptions): Promise<Entry> {
     const surroundings = makeSurroundings(options);
     const { settings, timer, log } = surroundings;
+    const { h32 } = await makeXxhash();
+    const hash = (text: string): number => h32(text);
     let leaving = false;
+    let peers: Peers | undefined = undefined;
     const config = startConfig(surroundings);
-    const fleet = startFleet(surroundings);
+    const fleet = startFleet(surroundings, hash);
     config.feed.subscribe(({ snapshot }) => fleet.setSnapshot(snapshot));
     const dispatch = startDispatch(surroundings, config.feed, fleet);
     const control = startControl(surroundings, config.feed, fleet);
-    const isReady = (): boolean =>
-        !leaving && config.feed.latest().known && fleet.feed.latest().headVersion !== undefined;
-    const callers = await startCallerDoor(surroundings, config.feed, dispatch, isReady);
-    const operators = await startOperatorDoor({ surroundings, configuration: config.feed, fleet, control, isReady });
-    log.info("started", { callerPort: callers.port, operatorPort: operators.port });
+    const isReady = (): boolean => !leaving && peers?.feed.latest().caughtUp === true;
+    const spillTarget = (service: string): string | undefined => peers?.spillTarget(service);
+    const callers = await startCallerDoor(surroundings, config.feed, dispatch, isReady, spillTarget);
+    const { port: callerPort } = callers;
+    const links = await startPeers({ surroundings, configuration: config, fleet, hash, callerPort, isReady });
+    peers = links;
+    const operators = await startOperatorDoor({
+        surroundings,
+        configuration: config.feed,
+        fleet,
+        control,
+        peers: links,
+        isReady,
+    });
+    log.info("started", { callerPort, operatorPort: operators.port, peerPort: links.port });
 
     const stop = async (): Promise<void> => {
         leaving = true;
@@ -56,6 +74,7 @@
         log.info("stopped", { cut: callers.inFlight() });
         callers.close();
         operators.close();
+        links.stop();
         dispatch.stop();
         fleet.stop();
         config.stop();
@@ -63,7 +82,14 @@
         await surroundings.tracing.stop();
     };
 
-    return { callerPort: callers.port, operatorPort: operators.port, isReady, stop };
+    return {
+        callerPort,
+        operatorPort: operators.port,
+        peerPort: links.port,
+        peerTraffic: links.traffic,
+        isReady,
+        stop,
+    };
 }
 
 function makeSurroundings(options: EntryOptions): Surroundings {
--- a/packages/entry/src/fleet/index.ts
+++ b/packages/entry/src/fleet/index.ts
@@ -1,2 +1,3 @@
 /** What this process knows of its zone: instances, groups, evidence, and which groups may be given work. */
-export { type Fleet, noHead, startFleet, type ZoneKnowledge } from "./fleetTask";
+export { type Fleet, startFleet } from "./fleetTask";
+export { noHead, type ZoneKnowledge } from "./zoneKnowledge";
--- /dev/null
+++ b/packages/entry/src/fleet/judgeZone.ts
@@ -0,0 +1,49 @@
+import {
+    type Evidence,
+    instanceIsRecalled,
+    judgeGroup,
+    type Snapshot,
+    type Standing,
+    versionIsRecalled,
+} from "@rattanquay/core";
+import { type GroupRow, type InstanceList } from "@rattanquay/schema";
+import { type Surroundings } from "../surroundings";
+
+type Ground = {
+    readonly groups: readonly GroupRow[];
+    readonly evidence: ReadonlyMap<string, Evidence>;
+    readonly snapshot: Snapshot;
+    readonly list: InstanceList;
+    readonly nowMs: number;
+    readonly maxAgeMs: number;
+};
+
+/** Judges every group of the zone on the evidence at hand. */
+export function judgeZone(ground: Ground): ReadonlyMap<string, Standing> {
+    const { groups, evidence, snapshot, list, nowMs, maxAgeMs } = ground;
+    const leaving = new Set(
+        list.instances.filter(instance => instance.state === "leaving").map(instance => instance.instance),
+    );
+    return new Map(groups.map(group => [
+        group.group,
+        judgeGroup(group, evidence, {
+            leaving,
+            recalledInstances: new Set(
+                group.members.map(member => member.instance).filter(instance => instanceIsRecalled(snapshot, instance)),
+            ),
+            versionRecalled: versionIsRecalled(snapshot, group.model, group.version),
+        }, { nowMs, maxAgeMs }),
+    ]));
+}
+
+export function logChanges(
+    { log }: Surroundings,
+    before: ReadonlyMap<string, Standing>,
+    after: ReadonlyMap<string, Standing>,
+): void {
+    for (const [group, standing] of after) {
+        if (before.get(group)?.kind !== standing.kind) {
+            log.info("groupStanding", { group, ...standing, kind: undefined, standing: standing.kind });
+        }
+    }
+}
--- /dev/null
+++ b/packages/entry/src/fleet/readZone.ts
@@ -0,0 +1,33 @@
+import { type Stored } from "@rattanquay/platform";
+import { zoneHeadKey, zonePartition } from "../rowKeys";
+import { type Surroundings } from "../surroundings";
+import { noHead } from "./zoneKnowledge";
+
+export type ZoneRead =
+    | { readonly kind: "unchanged" }
+    | { readonly kind: "unavailable" }
+    | { readonly kind: "changed"; readonly headVersion: number; readonly rows: readonly Stored[] };
+
+/** Reads the zone's rows when its head has moved; a head that moves meanwhile means that the next poll reads again. */
+export async function readZone(
+    { table, settings }: Surroundings,
+    knownVersion: number | undefined,
+): Promise<ZoneRead> {
+    const { availabilityZone } = settings.process;
+    const head = await table.read(zoneHeadKey(availabilityZone));
+    if (head.kind !== "done") {
+        return { kind: "unavailable" };
+    }
+    const headVersion = head.value?.version ?? noHead;
+    if (knownVersion !== undefined && headVersion <= knownVersion) {
+        return { kind: "unchanged" };
+    }
+    const rows = await table.list(zonePartition(availabilityZone));
+    const after = await table.read(zoneHeadKey(availabilityZone));
+    if (rows.kind !== "done" || after.kind !== "done") {
+        return { kind: "unavailable" };
+    }
+    return (after.value?.version ?? noHead) === headVersion
+        ? { kind: "changed", headVersion, rows: rows.value }
+        : { kind: "unchanged" };
+}
--- a/packages/entry/src/operators/operatorDoor.ts
+++ b/packages/entry/src/operators/operatorDoor.ts
@@ -8,9 +8,11 @@
 import { type Fleet } from "../fleet";
 import { bearerKey, hashKey } from "../keys";
 import { openListener, portOf } from "../listener";
+import { type Peers } from "../peers";
 import { type Surroundings } from "../surroundings";
 import { listTickets, readTicket, submitTicket } from "../tickets";
 import { statusOf } from "./status";
+import { answerTicketStatus } from "./ticketStatus";
 
 export type OperatorDoor = { readonly port: number; readonly close: () => void };
 
@@ -19,6 +21,7 @@
     readonly configuration: Feed<Configuration>;
     readonly fleet: Fleet;
     readonly control: Control;
+    readonly peers: Peers;
     readonly isReady: () => boolean;
 };
 
@@ -34,10 +37,14 @@
 };
 
 const handlers: Readonly<Record<string, Handler>> = {
-    "GET /v1/status": async (unusedRequest, unusedPath, { surroundings, configuration, fleet, control }) => ({
+    "GET /v1/status": async (unusedRequest, unusedPath, { surroundings, configuration, fleet, peers, control }) => ({
         status: 200,
-        body: statusOf(surroundings, configuration.latest(), fleet.feed.latest(), { holdsLease: control.holdsLease() }),
+        body: statusOf(surroundings, configuration.latest(), fleet.feed.latest(), peers.feed.latest(), {
+            holdsLease: control.holdsLease(),
+        }),
     }),
+    "GET /v1/tickets/N/status": async (unusedRequest, path, { surroundings, peers }) =>
+        answerTicketStatus(surroundings.table, peers, Number(path.split("/")[3])),
     "GET /v1/tickets": async (unusedRequest, unusedPath, { surroundings }) => {
         const outcome = await listTickets(surroundings.table);
         return outcome.kind === "done" ? { status: 200, body: outcome.value } : platformDown();
@@ -102,6 +109,7 @@
         return { status: 401, body: problem("No operator has this key. Send it as 'Authorization: Bearer KEY'.") };
     }
     const handler = handlers[`${request.method} ${path}`]
+        ?? handlers[`${request.method} ${path.replace(/\/\d+\/status$/, "/N/status")}`]
         ?? handlers[`${request.method} ${path.replace(/[^/]+$/, "")}`];
     return handler === undefined
         ? { status: 404, body: problem(`There is nothing at ${path}.`) }
--- a/packages/entry/src/operators/status.ts
+++ b/packages/entry/src/operators/status.ts
@@ -1,6 +1,7 @@
 /** What one process knows, for operators. */
 import { type Configuration } from "../config";
 import { type ZoneKnowledge } from "../fleet";
+import { type PeersKnowledge } from "../peers";
 import { type Surroundings } from "../surroundings";
 
 /** The answer to `GET /v1/status`. Ages are in milliseconds on the answering process's own clock. */
@@ -8,6 +9,7 @@
     surroundings: Surroundings,
     configuration: Configuration,
     zone: ZoneKnowledge,
+    peers: PeersKnowledge,
     control: { readonly holdsLease: boolean },
 ) {
     const { settings, timer } = surroundings;
@@ -56,6 +58,15 @@
             listed: zone.instances.length,
             leaving: zone.instances.filter(instance => instance.state === "leaving").length,
         },
-        peers: zone.entries,
+        peers: peers.members.map(member => ({
+            process: member.process,
+            availabilityZone: member.availabilityZone,
+            state: member.state,
+            ready: member.ready,
+            hearsUs: member.hearsUs,
+            revision: member.revision,
+            heardMsAgo: Math.round(nowMs - member.lastHeardMs),
+            serving: Object.fromEntries(peers.summaries.get(member.process) ?? []),
+        })),
     };
 }
--- a/packages/lab/src/cluster/embeddedCluster.ts
+++ b/packages/lab/src/cluster/embeddedCluster.ts
@@ -49,6 +49,14 @@
             })
         ),
     );
+    entryNames(spec).forEach(({ id, availabilityZone }, index) =>
+        platform.putEntry({
+            process: id,
+            availabilityZone,
+            peerAddress: `127.0.0.1:${entries[index]!.peerPort}`,
+            callerAddress: `127.0.0.1:${entries[index]!.callerPort}`,
+        })
+    );
     const operatorPorts = entries.map(entry => entry.operatorPort);
     await submit(
         operatorPorts[0]!,
--- a/packages/lab/src/cluster/processCluster.ts
+++ b/packages/lab/src/cluster/processCluster.ts
@@ -4,6 +4,7 @@
 import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { basename, dirname, join } from "node:path";
+import { control } from "../httpServer";
 import { submit, untilServing } from "./clusterClient";
 import { type ClusterSpec, enginePlaces, entryNames, type EntryPorts, settingsFor, ticketFor } from "./clusterSpec";
 import { until } from "./until";
@@ -111,6 +112,12 @@
         );
         const child = run(id, "rattanquay.cjs", ["serve", "--settings", file]);
         await until(`${id} to listen`, startTimeoutMs, () => isUp(ports.operators, "/healthz"));
+        await control(platform.port, "/lab/entries", {
+            process: id,
+            availabilityZone,
+            peerAddress: `127.0.0.1:${ports.peers}`,
+            callerAddress: `127.0.0.1:${ports.callers}`,
+        });
         return { name: id, port: ports.callers, child, availabilityZone, ports };
     };
 
--- /dev/null
+++ b/packages/peer/src/__tests__/peer.test.ts
@@ -0,0 +1,178 @@
+/** Frames, the proof of both sides, and messages over a real socket pair. */
+import { type PeerHello, type PeerMessage } from "@rattanquay/schema";
+import { systemTimer } from "@rattanquay/timer";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+    Deframer,
+    dial,
+    frameOf,
+    type Link,
+    type LinkEvent,
+    makeHandshake,
+    startLink,
+    startPeerListener,
+} from "../index";
+
+const secret = "a-secret-of-the-tests";
+const helloOf = (process: string, extra: Partial<PeerHello> = {}): PeerHello => ({
+    lowestVersion: 1,
+    highestVersion: 1,
+    process,
+    startId: `${process}-start`,
+    region: "lab",
+    availabilityZone: "zone-a",
+    peerAddress: "127.0.0.1:1",
+    callerAddress: "127.0.0.1:2",
+    nonce: `nonce-of-${process}-0123456789`,
+    ...extra,
+});
+
+const frameCases = [
+    { name: "whole", pieces: [1_000] },
+    { name: "a byte at a time", pieces: Array.from({ length: 1_000 }, () => 1) },
+    { name: "cut inside the length", pieces: [2, 3, 998] },
+];
+for (const { name, pieces } of frameCases) {
+    test(`frames that arrive ${name} are cut apart`, () => {
+        const stream = Buffer.concat([
+            frameOf(Buffer.from("first")),
+            frameOf(Buffer.from("")),
+            frameOf(Buffer.from("last")),
+        ]);
+        const deframer = new Deframer(100);
+        const texts: string[] = [];
+        let from = 0;
+        for (const size of pieces) {
+            const deframed = deframer.push(stream.subarray(from, from + size));
+            from += size;
+            assert.is(deframed.kind, "payloads");
+            if (deframed.kind === "payloads") {
+                texts.push(...deframed.payloads.map(String));
+            }
+        }
+        assert.equal(texts, ["first", "", "last"]);
+    });
+}
+
+test("a frame that announces too much is refused before it is kept", () => {
+    assert.equal(new Deframer(10).push(frameOf(Buffer.alloc(11))), { kind: "tooLarge", bytes: 11 });
+});
+
+const handshakeCases = [
+    { name: "one secret", listener: {}, listenerSecret: secret, dialerSees: "proved", listenerSees: "proved" },
+    {
+        name: "two secrets",
+        listener: {},
+        listenerSecret: "another-secret-x",
+        dialerSees: "failed",
+        listenerSees: "failed",
+    },
+    {
+        name: "a newer release that still speaks version 1",
+        listener: { highestVersion: 3 },
+        listenerSecret: secret,
+        dialerSees: "proved",
+        listenerSees: "proved",
+    },
+    {
+        name: "releases without a common version",
+        listener: { lowestVersion: 2, highestVersion: 3 },
+        listenerSecret: secret,
+        dialerSees: "failed",
+        listenerSees: "failed",
+    },
+];
+for (const { name, listener, listenerSecret, dialerSees, listenerSees } of handshakeCases) {
+    test(`handshake: ${name}`, () => {
+        const a = makeHandshake({ role: "dialer", own: helloOf("a"), secret });
+        const b = makeHandshake({ role: "listener", own: helloOf("b", listener), secret: listenerSecret });
+        const fromA = a.take(b.hello);
+        const fromB = b.take(a.hello);
+        const seenByA = fromB.kind === "reply" ? a.take(fromB.payload) : fromA;
+        const seenByB = fromA.kind === "reply" ? b.take(fromA.payload) : fromB;
+        assert.equal([seenByA.kind, seenByB.kind], [dialerSees, listenerSees]);
+    });
+}
+
+test("a proof sent back to its maker proves nothing", () => {
+    const a = makeHandshake({ role: "dialer", own: helloOf("a"), secret });
+    const reply = a.take(a.hello);
+    assert.is(reply.kind, "reply");
+    assert.is(reply.kind === "reply" ? a.take(reply.payload).kind : undefined, "failed");
+});
+
+type End = {
+    readonly link: Link;
+    readonly events: LinkEvent[];
+    readonly next: (kind: LinkEvent["kind"]) => Promise<LinkEvent>;
+};
+
+async function linkedPair(secrets: { readonly dialer: string; readonly listener: string }) {
+    const ends = new Map<string, End>();
+    const makeEnd = (role: "dialer" | "listener", socket: ReturnType<typeof dial>): End => {
+        const events: LinkEvent[] = [];
+        const waiting = new Map<string, (event: LinkEvent) => void>();
+        const link = startLink({
+            socket,
+            role,
+            own: helloOf(role),
+            secret: secrets[role],
+            maxFrameBytes: 100_000,
+            timer: systemTimer,
+            onEvent: event => {
+                events.push(event);
+                waiting.get(event.kind)?.(event);
+            },
+            onBroken: (task, error) => {
+                throw new Error(task, { cause: error });
+            },
+        });
+        const next = (kind: LinkEvent["kind"]): Promise<LinkEvent> => {
+            const known = events.find(event => event.kind === kind);
+            return known === undefined ? new Promise(resolve => waiting.set(kind, resolve)) : Promise.resolve(known);
+        };
+        const end = { link, events, next };
+        ends.set(role, end);
+        return end;
+    };
+    const listener = await startPeerListener({
+        host: "127.0.0.1",
+        port: 0,
+        onSocket: socket => makeEnd("listener", socket),
+    });
+    const dialer = makeEnd("dialer", dial(`127.0.0.1:${listener.port}`));
+    return { dialer, listening: () => ends.get("listener")!, close: listener.close };
+}
+
+test("proved links carry messages whole and in order", async () => {
+    const { dialer, listening, close } = await linkedPair({ dialer: secret, listener: secret });
+    await dialer.next("up");
+    const messages: PeerMessage[] = Array.from({ length: 50 }, (unused, sequence) => ({
+        kind: "heartbeat",
+        sequence,
+        revision: sequence * 7,
+        zoneVersion: -1,
+        ready: sequence % 2 === 0,
+    }));
+    messages.forEach(message => dialer.link.send(message));
+    await listening().next("up");
+    dialer.link.send({ kind: "progressAsk", ask: 1 });
+    while (listening().events.length < messages.length + 2) {
+        await new Promise(resolve => systemTimer.after(5, () => resolve(undefined)));
+    }
+    const heard = listening().events.flatMap(event => event.kind === "message" ? [event.message] : []);
+    assert.equal(heard.slice(0, -1), messages);
+    dialer.link.close("done");
+    await listening().next("down");
+    close();
+});
+
+test("a peer with another secret is never up", async () => {
+    const { dialer, listening, close } = await linkedPair({ dialer: secret, listener: "quite-another-secret" });
+    await dialer.next("down");
+    assert.not([...dialer.events, ...listening().events].some(event => event.kind === "up"));
+    close();
+});
+
+test.run();
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./engine";
 export * from "./fleet";
 export * from "./outcome";
+export * from "./peer";
 export * from "./rows";
 export * from "./settings";
 export * from "./ticket";
--- a/packages/schema/src/settings.ts
+++ b/packages/schema/src/settings.ts
@@ -40,7 +40,9 @@
     configPollMs: DurationMs.default(500),
     instanceListPollMs: DurationMs.default(1_000),
     groupPollMs: DurationMs.default(250),
+    /** How often each instance is probed by each of its probers. */
     probeMs: DurationMs.default(250),
+    heartbeatMs: DurationMs.default(250),
     /** Evidence older than this counts as missing. */
     evidenceMaxAgeMs: DurationMs.default(1_000),
     leaseMs: DurationMs.default(3_000),
@@ -80,6 +82,11 @@
         secret: z.string().min(16),
         /** `host:port` of peers to try before any is remembered. */
         seeds: z.array(z.string()).default([]),
+        /** How many entry instances of a zone probe each of its instances. */
+        probeOverlap: z.number().int().positive().default(2),
+        /** Links that this process keeps to each other zone. */
+        linksPerOtherZone: z.number().int().positive().default(1),
+        maxFrameBytes: z.number().int().positive().default(4_194_304),
     }),
     operators: z.array(Operator).default([]),
     policy: z.strictObject({
