Fuzz membership and shared evidence in virtual time

Cause: the decisions had no test. A first run showed a fault: after an own pause the peers were at once suspect, since two heartbeats of the pause were still held against them; now all of it but one heartbeat is forgiven.

Conclusion: evidence from peers is dated at or before its true age for delays up to 800 ms each way, restarts, and clocks up to 100 s apart.

--- /dev/null
+++ b/packages/core/src/membership/__tests__/membership.test.ts
@@ -0,0 +1,285 @@
+/** Membership and evidence in virtual time: messages are lost, late, repeated and reordered, processes pause and restart. */
+import { type EvidenceNews, type ServerInfo } from "@rattanquay/schema";
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+    chooseByRendezvous,
+    earliestSendingMs,
+    emptySnapshot,
+    makeEvidenceBook,
+    makeNewsLedger,
+    type Membership,
+    newerSnapshot,
+    noMembers,
+    noteHeartbeat,
+    noteLinked,
+    passSnapshot,
+    peerTargets,
+    takePassedSnapshot,
+    tickMembership,
+} from "../../index";
+
+const seed = 6;
+const limits = { heartbeatMs: 250, suspectAfterMs: 750, deadAfterMs: 2_000, forgetAfterMs: 60_000 };
+const identityOf = (process: string, startId: string) => ({
+    process,
+    startId,
+    availabilityZone: "zone-a",
+    peerAddress: `${process}:1`,
+    callerAddress: `${process}:2`,
+});
+const beatOf = (process: string, startId: string, sequence: number, revision = 1) => ({
+    process,
+    startId,
+    sequence,
+    revision,
+    ready: true,
+    hearsUs: true,
+});
+
+type Step =
+    | { readonly kind: "link"; readonly process: number; readonly start: number }
+    | {
+        readonly kind: "beat";
+        readonly process: number;
+        readonly start: number;
+        readonly sequence: number;
+        readonly revision: number;
+    }
+    | { readonly kind: "pass"; readonly ms: number };
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+    fc.record({ kind: fc.constant("link" as const), process: fc.nat(2), start: fc.nat(2) }),
+    fc.record({
+        kind: fc.constant("beat" as const),
+        process: fc.nat(2),
+        start: fc.nat(2),
+        sequence: fc.integer({ min: 1, max: 30 }),
+        revision: fc.nat(20),
+    }),
+    fc.record({ kind: fc.constant("pass" as const), ms: fc.integer({ min: 1, max: 400 }) }),
+);
+
+/** The oracle: what counts is the newest heartbeat of the start that linked last, and the time since. */
+type Expected = { start: number; heardMs: number; sequence: number; revision: number; dead: boolean };
+
+test("membership agrees with the oracle under lost, late, repeated and reordered heartbeats and restarts", () => {
+    fc.assert(
+        fc.property(fc.array(stepArbitrary, { maxLength: 120 }), steps => {
+            const expected = new Map<string, Expected>();
+            let membership: Membership = noMembers;
+            let nowMs = 0;
+            const handlers: { readonly [K in Step["kind"]]: (step: Extract<Step, { kind: K }>) => void } = {
+                link: ({ process, start }) => {
+                    membership = noteLinked(membership, identityOf(`p${process}`, `s${start}`), nowMs);
+                    const known = expected.get(`p${process}`);
+                    expected.set(
+                        `p${process}`,
+                        known?.start === start
+                            ? { ...known, heardMs: nowMs, dead: false }
+                            : { start, heardMs: nowMs, sequence: 0, revision: 0, dead: false },
+                    );
+                },
+                beat: ({ process, start, sequence, revision }) => {
+                    membership = noteHeartbeat(
+                        membership,
+                        beatOf(`p${process}`, `s${start}`, sequence, revision),
+                        nowMs,
+                    );
+                    const known = expected.get(`p${process}`);
+                    if (known?.start === start && sequence > known.sequence) {
+                        const greatest = Math.max(known.revision, revision);
+                        expected.set(`p${process}`, {
+                            start,
+                            heardMs: nowMs,
+                            sequence,
+                            revision: greatest,
+                            dead: false,
+                        });
+                    }
+                },
+                pass: ({ ms }) => {
+                    nowMs += ms;
+                    membership = tickMembership(membership, nowMs, limits);
+                    expected.forEach(known => {
+                        known.dead ||= nowMs - known.heardMs >= limits.deadAfterMs;
+                    });
+                },
+            };
+            for (const step of steps) {
+                (handlers[step.kind] as (step: Step) => void)(step);
+                for (const [process, known] of expected) {
+                    const member = membership.members.get(process)!;
+                    assert.is(member.startId, `s${known.start}`);
+                    assert.is(member.revision, known.revision);
+                    assert.is(member.state === "dead", known.dead);
+                    assert.ok(member.state !== "suspect" || nowMs - known.heardMs >= limits.suspectAfterMs);
+                }
+            }
+        }),
+        { seed, numRuns: 500 },
+    );
+});
+
+test("an own pause is not held against the peers", () => {
+    let membership = noteLinked(noMembers, identityOf("p", "s"), 0);
+    membership = tickMembership(membership, 250, limits);
+    membership = tickMembership(membership, 30_250, limits);
+    assert.is(membership.members.get("p")?.state, "alive");
+    for (let nowMs = 30_500; nowMs <= 33_000; nowMs += 250) {
+        membership = tickMembership(membership, nowMs, limits);
+    }
+    assert.is(membership.members.get("p")?.state, "dead");
+});
+
+const infoOf = (instance: string, bootId: string, running = 0): ServerInfo => ({
+    instance,
+    bootId,
+    status: "ready",
+    group: "g",
+    fence: 1,
+    cachedWeights: [],
+    load: { running, waiting: 0, ageMs: 0 },
+});
+
+/**
+ * A prober and a receiver whose clocks differ, and a link that delays. The truth is when each account was really given;
+ * the receiver must never take evidence as younger than that.
+ */
+const exchangeArbitrary = fc.array(
+    fc.record({
+        passMs: fc.integer({ min: 1, max: 300 }),
+        probe: fc.option(fc.nat(3), { nil: undefined }),
+        restart: fc.boolean(),
+        beatFromReceiver: fc.boolean(),
+        beatFromProber: fc.boolean(),
+        delayToProberMs: fc.nat(800),
+        delayToReceiverMs: fc.nat(800),
+    }),
+    { maxLength: 80 },
+);
+
+type Arrival = { readonly atMs: number; readonly arrive: (nowMs: number) => void };
+
+test("shared evidence is never taken as younger than it is, whatever the delays and the clocks", () => {
+    fc.assert(
+        fc.property(exchangeArbitrary, fc.integer({ min: -100_000, max: 100_000 }), (steps, clockDifferenceMs) => {
+            const proberClock = (nowMs: number): number => nowMs + clockDifferenceMs;
+            const findings = new Map<string, { info: ServerInfo; sentAtMs: number; identity: string }>();
+            const truth = new Map<string, number>();
+            const ledger = makeNewsLedger({ maxAgeMs: 500 });
+            const book = makeEvidenceBook();
+            const sendings = new Map<number, number>();
+            const boots = [0, 0, 0, 0];
+            let inOrder: Arrival[] = [];
+            let heard: { sequence: number; atMs: number } | undefined;
+            let sequence = 0;
+            let nowMs = 0;
+            for (const step of steps) {
+                nowMs += step.passMs;
+                // TCP keeps the order: what was sent later never arrives before.
+                const due = inOrder.filter(arrival => arrival.atMs <= nowMs);
+                inOrder = inOrder.filter(arrival => arrival.atMs > nowMs);
+                due.forEach(arrival => arrival.arrive(nowMs));
+                if (step.probe !== undefined) {
+                    boots[step.probe]! += step.restart ? 1 : 0;
+                    const info = infoOf(`i${step.probe}`, `b${boots[step.probe]}`, step.passMs);
+                    const identity = JSON.stringify({ ...info, load: undefined });
+                    findings.set(info.instance, { info, identity, sentAtMs: proberClock(nowMs) });
+                    truth.set(`${info.instance}/${info.bootId}`, nowMs);
+                }
+                if (step.beatFromReceiver) {
+                    const sent = ++sequence;
+                    sendings.set(sent, nowMs);
+                    const atMs = Math.max(nowMs + step.delayToProberMs, ...inOrder.map(arrival => arrival.atMs));
+                    inOrder.push({ atMs, arrive: at => heard = { sequence: sent, atMs: proberClock(at) } });
+                }
+                if (step.beatFromProber) {
+                    const echo = heard === undefined
+                        ? undefined
+                        : { sequence: heard.sequence, heldMs: Math.floor(proberClock(nowMs) - heard.atMs) };
+                    const news = ledger.next(findings, proberClock(nowMs));
+                    const atMs = Math.max(nowMs + step.delayToReceiverMs, ...inOrder.map(arrival => arrival.atMs));
+                    inOrder.push({ atMs, arrive: at => take(book, news, earliestSendingMs(echo, sendings, at)) });
+                }
+                for (const [instance, evidence] of book.best()) {
+                    const lastTrueMs = truth.get(`${instance}/${evidence.info.bootId}`)!;
+                    assert.ok(evidence.sentAtMs <= lastTrueMs, `${instance}: ${evidence.sentAtMs} > ${lastTrueMs}`);
+                }
+            }
+        }),
+        { seed, numRuns: 500 },
+    );
+});
+
+function take(book: ReturnType<typeof makeEvidenceBook>, news: EvidenceNews | undefined, sentAtMs: number | undefined) {
+    if (news !== undefined) {
+        book.noteNews("prober", news, sentAtMs ?? -Infinity);
+    }
+}
+
+test("a steady link keeps everything that is probed fresh, and sends changes alone", () => {
+    const ledger = makeNewsLedger({ maxAgeMs: 500 });
+    const book = makeEvidenceBook();
+    const finding = (instance: string, sentAtMs: number) => ({
+        info: infoOf(instance, "b"),
+        sentAtMs,
+        identity: "same",
+    });
+    for (let nowMs = 1_000; nowMs <= 5_000; nowMs += 250) {
+        const news = ledger.next(new Map([["a", finding("a", nowMs - 200)], ["b", finding("b", nowMs - 50)]]), nowMs)!;
+        assert.is(news.changes.length, nowMs === 1_000 ? 2 : 0);
+        book.noteNews("p", news, nowMs);
+        assert.equal([...book.best().values()].map(evidence => evidence.sentAtMs), [nowMs - 200, nowMs - 200]);
+    }
+    const lapsed = ledger.next(new Map([["a", finding("a", 5_900)], ["b", finding("b", 4_950)]]), 6_000)!;
+    assert.is(lapsed.lapsed.length, 1);
+    book.noteNews("p", lapsed, 6_000);
+    assert.equal([...book.best().keys()], ["a"]);
+});
+
+const hash = (text: string): number =>
+    [...text].reduce((sum, letter) => Math.imul(sum ^ letter.charCodeAt(0), 16777619), 2166136261) >>> 0;
+
+test("everyone chooses the same probers, and losing one moves only its own share", () => {
+    const probers = ["a", "b", "c", "d", "e"];
+    for (let index = 0; index < 200; index++) {
+        const before = chooseByRendezvous(`i${index}`, probers, 2, hash);
+        const after = chooseByRendezvous(`i${index}`, probers.filter(prober => prober !== "c"), 2, hash);
+        assert.equal(after.filter(prober => before.includes(prober)).length, before.includes("c") ? 1 : 2);
+    }
+});
+
+test("links: the whole own zone, a few of each other zone, and others in place of unreachable ones", () => {
+    const place = (process: string, availabilityZone: string) => ({
+        process,
+        availabilityZone,
+        peerAddress: `${process}:1`,
+        callerAddress: `${process}:2`,
+    });
+    const places = ["a0", "a1", "a2", "b0", "b1", "b2", "c0"].map(name => place(name, `zone-${name[0]}`));
+    const options = {
+        process: "a0",
+        availabilityZone: "zone-a",
+        linksPerOtherZone: 1,
+        hash,
+        unreachable: new Set<string>(),
+    };
+    const chosen = peerTargets(places, options).map(({ process }) => process);
+    assert.equal(chosen.filter(name => name.startsWith("a")), ["a1", "a2"]);
+    assert.is(chosen.filter(name => name.startsWith("b")).length, 1);
+    const firstOfB = chosen.find(name => name.startsWith("b"))!;
+    const without = peerTargets(places, { ...options, unreachable: new Set([firstOfB]) }).map(({ process }) => process);
+    assert.not(without.includes(firstOfB));
+});
+
+test("a passed-on configuration counts only when it is newer", () => {
+    const newer = { ...emptySnapshot, revision: 7, highestTicket: 9 };
+    const passed = takePassedSnapshot(passSnapshot(newer));
+    assert.equal(passed, newer);
+    assert.is(newerSnapshot(passed, emptySnapshot).revision, 7);
+    assert.is(newerSnapshot(emptySnapshot, passed).revision, 7);
+});
+
+test.run();
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -80,7 +80,8 @@
 
 /** Lets time pass: missed heartbeats make a peer suspect, then dead, then forgotten. */
 export function tickMembership(membership: Membership, nowMs: number, limits: MembershipLimits): Membership {
-    const ownPauseMs = Math.max(0, nowMs - membership.tickedAtMs - 2 * limits.heartbeatMs);
+    const gapMs = nowMs - membership.tickedAtMs;
+    const ownPauseMs = gapMs > 2 * limits.heartbeatMs ? gapMs - limits.heartbeatMs : 0;
     const members = [...membership.members.values()]
         .map(member => judge(member, nowMs, ownPauseMs, limits))
         .filter(member => nowMs - member.lastHeardMs < limits.forgetAfterMs);
