Number heartbeats by link, and let a leaving process serve and end

Cause, found by a first run of separate processes through cuttable links: after a cut the peers stayed dead for ever, since heartbeats of the new link began at 1 again and counted as repeats; a process between SIGTERM and the closing of its listener refused callers with notReady; and after its last log line a stopped process never ended, kept alive by the tasks' channels.

Cuttable links (lab/link) tell zones apart by loopback address.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -2,5 +2,6 @@
 import { runCommand } from "./runCommand";
 
 void runCommand(process.argv.slice(2)).then(code => {
-    process.exitCode = code;
+    // Not by exit code alone: the channels that the tasks run on would keep the process waiting for ever.
+    process.exit(code);
 });
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -19,6 +19,7 @@
 export type PeerMember = Identity & {
     readonly state: MemberState;
     readonly lastHeardMs: number;
+    /** The last heartbeat counted on the present link, on which numbers begin anew. */
     readonly sequence: number;
     readonly revision: number;
     readonly ready: boolean;
@@ -54,7 +55,7 @@
 export function noteLinked(membership: Membership, identity: Identity, nowMs: number): Membership {
     const known = membership.members.get(identity.process);
     const member: PeerMember = known?.startId === identity.startId
-        ? { ...known, ...identity, state: "alive", lastHeardMs: nowMs }
+        ? { ...known, ...identity, state: "alive", lastHeardMs: nowMs, sequence: 0 }
         : {
             ...identity,
             state: "alive",
--- a/packages/entry/src/callers/callerDoor.ts
+++ b/packages/entry/src/callers/callerDoor.ts
@@ -43,6 +43,7 @@
     configuration: Feed<Configuration>,
     dispatch: Dispatch,
     isReady: () => boolean,
+    canServe: () => boolean,
     spillTarget: Reach["spillTarget"],
 ): Promise<CallerDoor> {
     const retryBudget = makeRetryBudget(surroundings.settings.limits.retryShare);
@@ -61,7 +62,8 @@
             response.setHeader("connection", "close");
         }
         const exchange = openExchange(request, response, path, surroundings, configuration);
-        const conclusion = isReady() || draining
+        // A process that is leaving still serves whoever has not heard of it yet.
+        const conclusion = canServe()
             ? await route(exchange, reach)
             : refuse(exchange, "notReady", { retryAfterMs: 1_000 });
         conclude(exchange, conclusion, surroundings);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -49,9 +49,10 @@
     config.feed.subscribe(({ snapshot }) => fleet.setSnapshot(snapshot));
     const dispatch = startDispatch(surroundings, config.feed, fleet);
     const control = startControl(surroundings, config.feed, fleet);
-    const isReady = (): boolean => !leaving && peers?.feed.latest().caughtUp === true;
+    const canServe = (): boolean => peers?.feed.latest().caughtUp === true;
+    const isReady = (): boolean => !leaving && canServe();
     const spillTarget = (service: string): string | undefined => peers?.spillTarget(service);
-    const callers = await startCallerDoor(surroundings, config.feed, dispatch, isReady, spillTarget);
+    const callers = await startCallerDoor(surroundings, config.feed, dispatch, isReady, canServe, spillTarget);
     const { port: callerPort } = callers;
     const links = await startPeers({ surroundings, configuration: config, fleet, hash, callerPort, isReady });
     peers = links;
--- a/packages/entry/src/peers/peersTask.ts
+++ b/packages/entry/src/peers/peersTask.ts
@@ -68,8 +68,8 @@
         startId: randomUUID(),
         region: settings.process.region,
         availabilityZone: settings.process.availabilityZone,
-        peerAddress: `${settings.process.address}:${listener.port}`,
-        callerAddress: `${settings.process.address}:${callerPort}`,
+        peerAddress: `${settings.process.address}:${settings.listeners.peers.advertisedPort ?? listener.port}`,
+        callerAddress: `${settings.process.address}:${settings.listeners.callers.advertisedPort ?? callerPort}`,
     };
     const source = makeSource<PeersKnowledge>({ members: [], summaries: new Map(), caughtUp: false });
     const state = makePeersState(surroundings, own);
@@ -108,7 +108,7 @@
             state,
             source,
             asks,
-            dialTo: address => open(dial(address, tls), address),
+            dialTo: address => open(dial(address, { tls, localAddress: settings.peers.dialFrom }), address),
         }),
     });
     const cancels = [
--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -1,6 +1,7 @@
 /** Stand-ins, load, faults and experiments as functions. */
 export * from "./cluster";
 export * from "./engine";
+export * from "./link";
 export * from "./load";
 export * from "./platform";
 export * from "./service";
--- a/packages/peer/src/connections.ts
+++ b/packages/peer/src/connections.ts
@@ -24,10 +24,12 @@
     });
 }
 
+type DialOptions = { readonly tls?: TlsOptions; readonly localAddress?: string };
+
 /** Begins a connection to `host:port`; failures show as events of the socket. */
-export function dial(address: string, tls?: TlsOptions): Socket {
+export function dial(address: string, { tls, localAddress }: DialOptions = {}): Socket {
     const colon = address.lastIndexOf(":");
-    const target = { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+    const target = { host: address.slice(0, colon), port: Number(address.slice(colon + 1)), localAddress };
     return tls === undefined
         ? connect(target)
         : connectSecurely({
--- a/packages/schema/src/settings.ts
+++ b/packages/schema/src/settings.ts
@@ -16,6 +16,8 @@
 const Listener = z.strictObject({
     host: z.string().default("127.0.0.1"),
     port: Port,
+    /** The port by which others reach this listener, where ports are mapped. */
+    advertisedPort: Port.optional(),
     tls: Tls.optional(),
 });
 export type Listener = z.infer<typeof Listener>;
@@ -82,6 +84,8 @@
         secret: z.string().min(16),
         /** `host:port` of peers to try before any is remembered. */
         seeds: z.array(z.string()).default([]),
+        /** The local IP number that links are dialed from, on machines that have several. */
+        dialFrom: z.string().optional(),
         /** How many entry instances of a zone probe each of its instances. */
         probeOverlap: z.number().int().positive().default(2),
         /** Links that this process keeps to each other zone. */
