Decide control as a state machine, settle lost answers, batch actions, add policies

Cause: a lease write whose answer was lost left the writer outside a lease that it held in the table; every standby process read the lease each 250 ms (350 processes: 1,400 reads/s of the 2,000); one action a tick formed 60 replicas in 15 s; a member that died without its group saying so kept the group until the list dropped it; an outdated version whose groups never served could not be replaced; nobody undid an old holder's order on an instance that owns no group.

A lost lease write is recognised by its token when the row is read back; a lost change of groups by the zone head's token. Candidates share ten lease calls a second a zone, with jitter. Policies in tables: spares, weak groups, rollout, loading, each with its baseline. A freed instance is a candidate when it reports no group, has failed, or was unowned for 5 s.

Ruled out: a transaction of dissolve and form in one (an item may be written once in a transaction); unlimited load orders (each group later, none earlier).

Conclusion: the decisions can run many times against one fake table; fuzzing next.

--- /dev/null
+++ b/packages/core/src/control/zoneControl.ts
@@ -0,0 +1,284 @@
+/**
+ * Control of one zone as one process decides it: the lease, the plan, the transactions and the orders.
+ *
+ * It emits commands and takes their outcomes; it has no clock, no randomness and no table of its own, so that many of
+ * them can run against one table in virtual time. Whoever carries a command out asks `mayAct` immediately before.
+ */
+import {
+    type GroupRow,
+    type Instance,
+    type Key,
+    leaseKey,
+    LeaseRow,
+    type Stored,
+    type TableOutcome,
+    type Write,
+    zoneHeadKey,
+} from "@rattanquay/schema";
+import { type Snapshot } from "../config";
+import { type Evidence, type Standing } from "../evidence";
+import { type Action, type LoadOrder, type PlanPolicies, planZone, type ZoneView } from "../groups";
+import {
+    initialLease,
+    type LeaseState,
+    type LeaseStep,
+    mayAct,
+    nextLeaseStep,
+    noteAsked,
+    noteRead,
+    type StoredLease,
+} from "../lease";
+import { batchOf } from "./groupWrites";
+import { type AddressedOrder, ordersOf } from "./orders";
+import { makeWatch } from "./watch";
+
+/** The zone as the process knows it at one instant. */
+export type ZoneNews = {
+    readonly snapshot: Snapshot;
+    readonly instances: readonly Instance[];
+    readonly groups: readonly GroupRow[];
+    readonly standings: ReadonlyMap<string, Standing>;
+    readonly evidence: ReadonlyMap<string, Evidence>;
+    readonly rows: ReadonlyMap<string, Stored>;
+    readonly headVersion: number;
+    readonly judgedAtMs: number;
+    /** Entry instances of this zone, among which the reading of the lease is shared out. */
+    readonly entryCount: number;
+};
+
+export type Command =
+    | { readonly kind: "readLease"; readonly at: Key }
+    | { readonly kind: "writeLease"; readonly token: string; readonly writes: readonly Write[] }
+    | {
+        readonly kind: "changeGroups";
+        readonly token: string;
+        readonly writes: readonly Write[];
+        readonly actions: readonly Action[];
+    }
+    /** Settles a change whose answer was lost. */
+    | { readonly kind: "readHead"; readonly at: Key; readonly token: string }
+    | ({ readonly kind: "order" } & AddressedOrder);
+
+/** What came of a command. Orders have no outcome: only evidence tells. */
+export type Outcome =
+    | { readonly kind: "leaseRead"; readonly outcome: TableOutcome<Stored | undefined> }
+    | { readonly kind: "leaseWritten"; readonly token: string; readonly outcome: TableOutcome<void> }
+    | { readonly kind: "groupsChanged"; readonly token: string; readonly outcome: TableOutcome<void> }
+    | { readonly kind: "headRead"; readonly token: string; readonly outcome: TableOutcome<Stored | undefined> };
+
+export type ZoneControlOptions = {
+    readonly holder: string;
+    readonly availabilityZone: string;
+    readonly leaseMs: number;
+    readonly evidenceMaxAgeMs: number;
+    readonly policies: PlanPolicies & { readonly loadOrder: LoadOrder };
+};
+
+export type Instant = { readonly nowMs: number; readonly random: () => number; readonly newToken: () => string };
+
+export type ZoneControl = {
+    readonly mayAct: (nowMs: number) => boolean;
+    /** What to do now; `news` is absent until the zone and the configuration are known. */
+    readonly tick: (news: ZoneNews | undefined, instant: Instant) => readonly Command[];
+    /** Takes in an outcome; what comes back is to be done at once. */
+    readonly answered: (outcome: Outcome, instant: Instant) => readonly Command[];
+    /** The fencing number of the term held, if any. */
+    readonly fence: () => number | undefined;
+};
+
+/** Orders are sent again after this long while the evidence does not show them carried out. */
+const orderRepeatMs = 1_000;
+/** After draining, how long until no entry instance that can hear of it sends new work. */
+const drainSettleMs = 3_000;
+/** A member without fresh evidence for this long is lost, not only slow to answer. */
+const lostAfterMs = 500;
+/** No order of an old holder arrives this long after the instance was set free. */
+const ordersExpireMs = 5_000;
+/** Judgements older than this are those of a process that was paused. */
+const judgementMaxAgeMs = 500;
+/** Actions within one lease term; the term's fencing number stands above them. */
+const actionsPerTerm = 1_000_000;
+/** Calls about the lease that the candidates of a zone make together. */
+const leaseCallsPerSecond = 10;
+const shortestLeaseReadMs = 250;
+
+export function makeZoneControl(options: ZoneControlOptions): ZoneControl {
+    const { availabilityZone, leaseMs, policies } = options;
+    const draining = makeWatch();
+    const missing = makeWatch();
+    const unowned = makeWatch();
+    const orderedAtMs = new Map<string, number>();
+    let lease: LeaseState = initialLease;
+    let jitter = 1;
+    let term = { fence: 0, actions: 0 };
+    let pending = { token: "", headVersion: 0 };
+    let awaitedHead = -Infinity;
+
+    const leaseCommand = (step: LeaseStep, { nowMs, newToken, random }: Instant): readonly Command[] => {
+        if (step.kind === "wait") {
+            return [];
+        }
+        jitter = 0.5 + random();
+        const at = leaseKey(availabilityZone);
+        if (step.kind === "read") {
+            lease = noteAsked(lease, undefined, nowMs);
+            return [{ kind: "readLease", at }];
+        }
+        const written = { row: step.row, version: (step.expected?.version ?? 0) + 1, token: newToken() };
+        lease = noteAsked(lease, written, nowMs);
+        return [{ kind: "writeLease", token: written.token, writes: [leaseWrite(at, written, step.expected)] }];
+    };
+
+    const nextFence = (fence: number) => (): number => {
+        term = term.fence === fence ? { fence, actions: term.actions + 1 } : { fence, actions: 1 };
+        return fence * actionsPerTerm + term.actions;
+    };
+
+    const watch = (news: ZoneNews, nowMs: number): void => {
+        const owned = new Set(news.groups.flatMap(group => group.members.map(member => member.instance)));
+        draining.note(news.groups.filter(group => group.state === "draining").map(group => group.group), nowMs);
+        unowned.note(news.instances.map(known => known.instance).filter(name => !owned.has(name)), nowMs);
+        missing.note([...owned].filter(name => isStale(news.evidence.get(name), options, nowMs)), nowMs);
+    };
+
+    const viewOf = (news: ZoneNews, nowMs: number): ZoneView => ({
+        ...news,
+        availabilityZone,
+        nowMs,
+        evidenceMaxAgeMs: options.evidenceMaxAgeMs,
+        idleGroups: idleGroups(news, draining.sinceMs),
+        lostInstances: missing.longerThan(lostAfterMs, nowMs),
+        settledInstances: unowned.longerThan(ordersExpireMs, nowMs),
+    });
+
+    const orders = (view: ZoneView, news: ZoneNews): readonly Command[] => {
+        const wanted = ordersOf(view, news.rows, policies.loadOrder);
+        const keyOf = ({ instance, order }: AddressedOrder): string => `${instance}/${order.kind}/${order.group}`;
+        const known = new Set(wanted.map(keyOf));
+        [...orderedAtMs.keys()].filter(key => !known.has(key)).forEach(key => orderedAtMs.delete(key));
+        const due = wanted.filter(order => view.nowMs - (orderedAtMs.get(keyOf(order)) ?? -Infinity) >= orderRepeatMs);
+        due.forEach(order => orderedAtMs.set(keyOf(order), view.nowMs));
+        return due.map(order => ({ kind: "order", ...order }));
+    };
+
+    const change = (view: ZoneView, news: ZoneNews, { newToken }: Instant): readonly Command[] => {
+        const leaseFence = lease.held!.fence;
+        const { rows, headVersion } = news;
+        const token = newToken();
+        const context = {
+            availabilityZone,
+            leaseFence,
+            nextFence: nextFence(leaseFence),
+            rows,
+            headVersion,
+            token,
+        };
+        const { actions, writes } = batchOf(planZone(view, policies), context);
+        if (actions.length === 0) {
+            return [];
+        }
+        pending = { token, headVersion: Math.max(0, headVersion) + 1 };
+        return [{ kind: "changeGroups", token, writes, actions }];
+    };
+
+    const tick = (news: ZoneNews | undefined, instant: Instant): readonly Command[] => {
+        const { nowMs } = instant;
+        const shareMs = (news?.entryCount ?? 1) / leaseCallsPerSecond * 1_000;
+        const readEveryMs = Math.max(shortestLeaseReadMs, shareMs) * jitter;
+        if (news !== undefined) {
+            watch(news, nowMs);
+        }
+        const step = nextLeaseStep(lease, { holder: options.holder, leaseMs, nowMs, readEveryMs });
+        const about = leaseCommand(step, instant);
+        const isKnown = news !== undefined
+            && news.headVersion >= awaitedHead
+            && nowMs - news.judgedAtMs <= judgementMaxAgeMs;
+        if (!isKnown || !mayAct(lease, { leaseMs, nowMs })) {
+            return about;
+        }
+        const view = viewOf(news, nowMs);
+        return [...orders(view, news), ...about, ...change(view, news, instant)];
+    };
+
+    const handlers: { readonly [K in Outcome["kind"]]: Handler<K> } = {
+        leaseRead: ({ outcome }, { nowMs }) => {
+            if (outcome.kind === "done") {
+                lease = noteRead(lease, storedLease(outcome.value), nowMs);
+            }
+            return [];
+        },
+        leaseWritten: ({ token, outcome }, { nowMs }) => {
+            const written = lease.sent.find(sent => sent.token === token);
+            if (outcome.kind === "done") {
+                lease = noteRead(lease, written, nowMs);
+                return [];
+            }
+            lease = noteAsked(lease, undefined, nowMs);
+            return [{ kind: "readLease", at: leaseKey(availabilityZone) }];
+        },
+        groupsChanged: ({ token, outcome }) => {
+            if (outcome.kind === "done" && token === pending.token) {
+                awaitedHead = pending.headVersion;
+            }
+            return outcome.kind === "unavailable"
+                ? [{ kind: "readHead", at: zoneHeadKey(availabilityZone), token }]
+                : [];
+        },
+        headRead: ({ token, outcome }) => {
+            if (outcome.kind === "done" && outcome.value?.token === token) {
+                awaitedHead = outcome.value.version;
+            }
+            return [];
+        },
+    };
+
+    return {
+        mayAct: nowMs => mayAct(lease, { leaseMs, nowMs }),
+        tick,
+        answered: (outcome, instant) =>
+            (handlers[outcome.kind] as (outcome: Outcome, instant: Instant) => readonly Command[])(outcome, instant),
+        fence: () => lease.held?.fence,
+    };
+}
+
+type Handler<K extends Outcome["kind"]> = (
+    outcome: Extract<Outcome, { readonly kind: K }>,
+    instant: Instant,
+) => readonly Command[];
+
+function leaseWrite(at: Key, written: StoredLease, expected: StoredLease | undefined): Write {
+    const { row: body, version, token } = written;
+    return {
+        kind: "put",
+        at,
+        row: { version, token, fence: body.fence, body },
+        condition: expected === undefined ? { kind: "absent" } : { kind: "versionIs", version: expected.version },
+    };
+}
+
+function storedLease(stored: Stored | undefined): StoredLease | undefined {
+    return stored === undefined
+        ? undefined
+        : { row: LeaseRow.parse(stored.body), version: stored.version, token: stored.token };
+}
+
+function isStale(evidence: Evidence | undefined, options: ZoneControlOptions, nowMs: number): boolean {
+    return evidence === undefined || nowMs - evidence.sentAtMs > options.evidenceMaxAgeMs;
+}
+
+/** Draining groups whose first member reported, well after draining began, that it has no work. */
+function idleGroups(
+    news: ZoneNews,
+    drainingSinceMs: (group: string) => number | undefined,
+): ReadonlySet<string> {
+    const idle = news.groups.filter(group => {
+        const sinceMs = drainingSinceMs(group.group);
+        const evidence = news.evidence.get(group.members[0]!.instance);
+        if (sinceMs === undefined || evidence === undefined) {
+            return false;
+        }
+        const { running, waiting, ageMs } = evidence.info.load;
+        return running + waiting === 0 && evidence.sentAtMs - ageMs > sinceMs + drainSettleMs;
+    });
+    return new Set(idle.map(group => group.group));
+}
--- a/packages/core/src/groups/index.ts
+++ b/packages/core/src/groups/index.ts
@@ -1,3 +1,8 @@
 /** Planning groups of instances for one availability zone. */
-export { type Action, planZone, type ZoneView } from "./planZone";
-export { type RepairOrder, repairOrders } from "./repairOrder";
+export { type LoadNeed, type LoadOrder, loadOrders } from "./loadOrder";
+export { type PlanPolicies, planZone } from "./planZone";
+export { lackOf, type RepairOrder, repairOrders } from "./repairOrder";
+export { type Rollout, rollouts } from "./rollouts";
+export { type SpareChoice, spareChoices } from "./spares";
+export { type BreakUp, breakUps } from "./weakGroups";
+export { type Action, type Candidate, isServing, isWeak, weightsOf, type ZoneView } from "./zoneView";
--- a/packages/core/src/groups/planZone.ts
+++ b/packages/core/src/groups/planZone.ts
@@ -1,187 +1,189 @@
-import { type GroupRow, type Instance, type ModelService } from "@rattanquay/schema";
-import { instanceIsRecalled, servicesOfKind, type Snapshot, versionIsRecalled } from "../config";
-import { type Evidence, type Standing } from "../evidence";
-import { type Need, type RepairOrder } from "./repairOrder";
+/** Plans one zone: broken groups are dissolved, unwanted ones drained, and free instances made into missing groups. */
+import { type GroupRow, type ModelService } from "@rattanquay/schema";
+import { instanceIsRecalled, servicesOfKind, versionIsRecalled } from "../config";
+import { needOf, type RepairOrder } from "./repairOrder";
+import { type Rollout } from "./rollouts";
+import { type Domains, type SpareChoice } from "./spares";
+import { type BreakUp, weakDomains } from "./weakGroups";
+import {
+    type Action,
+    type Candidate,
+    freeByDomain,
+    isCurrent,
+    isFresh,
+    isProvedIdle,
+    isServing,
+    isWeak,
+    type Removal,
+    weightsOf,
+    type ZoneView,
+} from "./zoneView";
 
-/** What a zone's lease holder knows when it plans. */
-export type ZoneView = {
-    readonly availabilityZone: string;
-    readonly snapshot: Snapshot;
-    readonly instances: readonly Instance[];
-    readonly groups: readonly GroupRow[];
-    readonly standings: ReadonlyMap<string, Standing>;
-    readonly evidence: ReadonlyMap<string, Evidence>;
-    /** Groups that no entry instance has work on any more. */
-    readonly idleGroups: ReadonlySet<string>;
-    readonly nowMs: number;
-    readonly evidenceMaxAgeMs: number;
+export type PlanPolicies = {
+    readonly repairOrder: RepairOrder;
+    readonly spareChoice: SpareChoice;
+    readonly breakUp: BreakUp;
+    readonly rollout: Rollout;
 };
 
-/** What to do next. Each is one transaction; `form` carries the boot ids that the group is formed on. */
-export type Action =
-    | {
-        readonly kind: "form";
-        readonly service: string;
-        readonly declared: ModelService;
-        readonly fabricDomain: string;
-        readonly members: readonly Candidate[];
-    }
-    | { readonly kind: "drain"; readonly group: GroupRow; readonly reason: string }
-    | { readonly kind: "dissolve"; readonly group: GroupRow; readonly reason: string };
+type Formation = Extract<Action, { readonly kind: "form" }>;
 
-/** A free instance with fresh evidence. */
-export type Candidate = {
-    readonly instance: string;
-    readonly address: string;
-    readonly bootId: string;
-    readonly fabricDomain: string;
-};
+/** Share of the declared replicas that a change may add on top of them while it is carried out. */
+const surgeShare = 0.25;
 
-/** Plans one zone: broken groups are dissolved, unwanted ones drained, and free instances made into missing groups. */
-export function planZone(view: ZoneView, repairOrder: RepairOrder): readonly Action[] {
-    const dissolved = view.groups.flatMap(group => dissolution(view, group));
-    const drained = view.groups.flatMap(group => drainage(view, group));
-    return [...dissolved, ...drained, ...formations(view, repairOrder)];
+export function planZone(view: ZoneView, policies: PlanPolicies): readonly Action[] {
+    const free = freeByDomain(view, instance => instanceIsRecalled(view.snapshot, instance));
+    const formations = formationsOf(view, policies, free);
+    const removals = new Map<string, Removal>();
+    const add = (removal: Removal): void => {
+        if (!removals.has(removal.group.group)) {
+            removals.set(removal.group.group, removal);
+        }
+    };
+    dissolutions(view).forEach(add);
+    breakUps(view, policies.breakUp, free, formations).forEach(add);
+    forcedDrains(view).forEach(add);
+    servicesOfKind(view.snapshot, "model").forEach(([service, declared]) => {
+        const forming = formations.some(formation => formation.service === service);
+        surplus(view, service, declared).forEach(add);
+        outdated(view, { service, declared, forming }, policies.rollout).forEach(add);
+    });
+    return [...removals.values(), ...formations];
 }
 
-function dissolution(view: ZoneView, group: GroupRow): readonly Action[] {
-    const standing = view.standings.get(group.group);
-    if (standing?.kind === "broken") {
-        return [{ kind: "dissolve", group, reason: standing.reason }];
-    }
-    if (membersGone(view, group)) {
-        return [{ kind: "dissolve", group, reason: "a member is gone from the platform's list" }];
-    }
-    if (group.state === "draining" && view.idleGroups.has(group.group)) {
-        return [{ kind: "dissolve", group, reason: "drained" }];
-    }
-    return [];
+/** Groups that cannot come right, and draining ones that have nothing left to do. */
+function dissolutions(view: ZoneView): readonly Removal[] {
+    const listed = new Set(view.instances.map(instance => instance.instance));
+    return view.groups.flatMap((group): readonly Removal[] => {
+        const standing = view.standings.get(group.group);
+        const gone = group.members.some(({ instance }) => !listed.has(instance) && !isFresh(view, instance));
+        const reasons = [
+            standing?.kind === "broken" ? standing.reason : undefined,
+            gone ? "a member is gone from the platform's list" : undefined,
+            group.state === "draining" && view.idleGroups.has(group.group) ? "drained" : undefined,
+            group.state === "draining" && isWeak(view, group) ? "a member was lost while it drained" : undefined,
+        ];
+        const reason = reasons.find(found => found !== undefined);
+        return reason === undefined ? [] : [{ kind: "dissolve", group, reason }];
+    });
 }
 
-function membersGone(view: ZoneView, group: GroupRow): boolean {
-    const listed = new Set(view.instances.map(instance => instance.instance));
-    return group.members.some(member =>
-        !listed.has(member.instance) && !isFresh(view, view.evidence.get(member.instance))
+/** Weak groups whose survivors are worth more elsewhere. */
+function breakUps(
+    view: ZoneView,
+    breakUp: BreakUp,
+    free: Domains,
+    formations: readonly Formation[],
+): readonly Removal[] {
+    const taken = new Set(formations.flatMap(formation => formation.members.map(member => member.instance)));
+    const left = new Map([...free].map(([name, members]) => [name, without(members, taken)]));
+    const weak = view.groups.filter(group => group.state === "active" && isWeak(view, group)).map(group => ({
+        group,
+        survivors: group.members.filter(member => isUsable(view, member.instance)).length,
+    }));
+    return weakDomains(weak, left).flatMap(domain =>
+        breakUp(domain).map(group => ({ kind: "dissolve" as const, group, reason: "its survivors complete another" }))
     );
 }
 
-function drainage(view: ZoneView, group: GroupRow): readonly Action[] {
-    const standing = view.standings.get(group.group);
-    if (group.state === "draining" || standing?.kind === "broken") {
-        return [];
-    }
-    const reason = standing?.kind === "leaving" ? standing.reason : unwantedReason(view, group);
-    return reason === undefined ? [] : [{ kind: "drain", group, reason }];
+function isUsable(view: ZoneView, instance: string): boolean {
+    const listed = view.instances.find(known => known.instance === instance);
+    return listed?.state === "live" && isFresh(view, instance) && !instanceIsRecalled(view.snapshot, instance);
 }
 
-function unwantedReason(view: ZoneView, group: GroupRow): string | undefined {
-    const declared = view.snapshot.services.get(group.service);
-    if (declared?.kind !== "model") {
-        return "the service is no longer declared";
-    }
-    const wanted = declared.replicas[view.availabilityZone] ?? 0;
-    const current = view.groups.filter(other =>
-        other.service === group.service && other.state === "active" && matches(other, declared)
-    );
-    if (matches(group, declared)) {
-        const rank = current.map(other => other.group).sort().indexOf(group.group);
-        return rank >= wanted ? "more replicas than declared" : undefined;
-    }
-    return replaceable(view, group, declared, wanted) ? "replaced by another version or shape" : undefined;
+/** Groups that must go whatever the floor says: recalled, leaving or no longer declared. */
+function forcedDrains(view: ZoneView): readonly Removal[] {
+    return view.groups.filter(group => group.state === "active").flatMap((group): readonly Removal[] => {
+        const standing = view.standings.get(group.group);
+        if (standing?.kind === "leaving") {
+            return [{ kind: "drain", group, reason: standing.reason }];
+        }
+        return view.snapshot.services.get(group.service)?.kind === "model"
+            ? []
+            : [{ kind: "drain", group, reason: "the service is no longer declared" }];
+    });
 }
 
-/** An outdated group goes only while the floor of serving replicas stays without it. */
-function replaceable(view: ZoneView, group: GroupRow, declared: ModelService, wanted: number): boolean {
-    const floor = Math.ceil(wanted * declared.floorShare);
-    const servingOthers = view.groups.filter(other =>
-        other.service === group.service
-        && other.group !== group.group
-        && other.state === "active"
-        && view.standings.get(other.group)?.kind === "serving"
-    );
-    const firstOutdated = view.groups
-        .filter(other => other.service === group.service && other.state === "active" && !matches(other, declared))
-        .map(other => other.group)
-        .sort()[0];
-    return servingOthers.length >= floor && firstOutdated === group.group;
+const activeOf = (view: ZoneView, service: string): readonly GroupRow[] =>
+    view.groups.filter(group => group.service === service && group.state === "active");
+
+/** Groups beyond the declared number; those that serve stay first, weak ones go at once. */
+function surplus(view: ZoneView, service: string, declared: ModelService): readonly Removal[] {
+    const wanted = declared.replicas[view.availabilityZone] ?? 0;
+    const rank = (group: GroupRow): number => isServing(view, group) ? 0 : isWeak(view, group) ? 2 : 1;
+    const current = activeOf(view, service).filter(group => isCurrent(group, declared));
+    const ranked = [...current].sort((a, b) => rank(a) - rank(b) || a.fence - b.fence);
+    return ranked.slice(wanted).map(group => ({
+        kind: isWeak(view, group) ? "dissolve" : "drain",
+        group,
+        reason: "more replicas than declared",
+    }));
 }
 
-function matches(group: GroupRow, declared: ModelService): boolean {
-    return group.model === declared.model
-        && group.version === declared.version
-        && group.adapter === declared.adapter
-        && group.members.length === declared.groupSize;
+type ServiceChange = { readonly service: string; readonly declared: ModelService; readonly forming: boolean };
+
+/** Groups of an old version, adapter or shape, as far as the floor of serving replicas allows. */
+function outdated(view: ZoneView, change: ServiceChange, rollout: Rollout): readonly Removal[] {
+    const { service, declared, forming } = change;
+    const reason = "replaced by another version or shape";
+    const active = activeOf(view, service);
+    const old = active.filter(group => !isCurrent(group, declared));
+    const useless = old.filter(group => isWeak(view, group) || isProvedIdle(view, group));
+    const wanted = declared.replicas[view.availabilityZone] ?? 0;
+    const count = rollout({
+        wanted,
+        floor: Math.ceil(wanted * declared.floorShare),
+        serving: active.filter(group => isServing(view, group)).length,
+        loading: active.filter(group =>
+            isCurrent(group, declared) && !isServing(view, group) && !isWeak(view, group)
+        ).length,
+        forming,
+    });
+    const going = old.filter(group => isServing(view, group)).slice(0, count);
+    return [
+        ...useless.map(group => ({
+            kind: isWeak(view, group) ? "dissolve" as const : "drain" as const,
+            group,
+            reason,
+        })),
+        ...going.map(group => ({ kind: "drain" as const, group, reason })),
+    ];
 }
 
-function formations(view: ZoneView, repairOrder: RepairOrder): readonly Action[] {
-    const free = freeByDomain(view);
-    const actions: Action[] = [];
-    for (const need of repairOrder(needsOf(view))) {
+function formationsOf(view: ZoneView, policies: PlanPolicies, free: Domains): readonly Formation[] {
+    const left = new Map(free);
+    const formations: Formation[] = [];
+    for (const need of policies.repairOrder(needsOf(view))) {
         const declared = view.snapshot.services.get(need.service) as ModelService;
-        for (let missing = need.declared - need.present; missing > 0; missing--) {
-            const members = takeFrom(free, declared.groupSize);
-            if (members === undefined) {
+        for (let added = 0; added < need.missing; added++) {
+            const isSurge = need.present + added >= need.declared;
+            const members = policies.spareChoice(left, declared.groupSize, weightsOf(declared));
+            const freeCount = [...left.values()].reduce((sum, candidates) => sum + candidates.length, 0);
+            if (members === undefined || isSurge && freeCount - members.length < declared.spares) {
                 break;
             }
-            actions.push({
-                kind: "form",
-                service: need.service,
-                declared,
-                fabricDomain: members[0]!.fabricDomain,
-                members,
-            });
-        }
-    }
-    return actions;
-}
-
-function needsOf(view: ZoneView): readonly Need[] {
-    return servicesOfKind(view.snapshot, "model")
-        .filter(([, declared]) => !versionIsRecalled(view.snapshot, declared.model, declared.version))
-        .map(([service, declared]) => ({
-            service,
-            declared: declared.replicas[view.availabilityZone] ?? 0,
-            present: view.groups.filter(group => group.service === service && group.state === "active").length,
-            priority: declared.priority,
-        }));
-}
-
-function freeByDomain(view: ZoneView): Map<string, Candidate[]> {
-    const owned = new Set(view.groups.flatMap(group => group.members.map(member => member.instance)));
-    const domains = new Map<string, Candidate[]>();
-    for (const instance of view.instances) {
-        const evidence = view.evidence.get(instance.instance);
-        const usable = instance.state === "live"
-            && instance.availabilityZone === view.availabilityZone
-            && !owned.has(instance.instance)
-            && !instanceIsRecalled(view.snapshot, instance.instance)
-            && isFresh(view, evidence);
-        if (usable) {
-            const { instance: name, address, fabricDomain } = instance;
-            const candidates = domains.get(fabricDomain) ?? [];
-            domains.set(fabricDomain, [...candidates, {
-                instance: name,
-                address,
-                fabricDomain,
-                bootId: evidence!.info.bootId,
-            }]);
+            const fabricDomain = members[0]!.fabricDomain;
+            const taken = new Set(members.map(member => member.instance));
+            left.set(fabricDomain, without(left.get(fabricDomain)!, taken));
+            formations.push({ kind: "form", service: need.service, declared, fabricDomain, members });
         }
     }
-    return domains;
+    return formations;
 }
 
-function isFresh(view: ZoneView, evidence: Evidence | undefined): boolean {
-    return evidence !== undefined && view.nowMs - evidence.sentAtMs <= view.evidenceMaxAgeMs;
+function without(candidates: readonly Candidate[], taken: ReadonlySet<string>): readonly Candidate[] {
+    return candidates.filter(candidate => !taken.has(candidate.instance));
 }
 
-/** Takes from the domain with the fewest instances that suffice (best fit), so that large domains stay whole. */
-function takeFrom(free: Map<string, Candidate[]>, size: number): readonly Candidate[] | undefined {
-    const [domain, candidates] = [...free]
-        .filter(([, members]) => members.length >= size)
-        .sort(([nameA, a], [nameB, b]) => a.length - b.length || nameA.localeCompare(nameB))[0] ?? [];
-    if (domain === undefined || candidates === undefined) {
-        return undefined;
-    }
-    free.set(domain, candidates.slice(size));
-    return candidates.slice(0, size);
+function needsOf(view: ZoneView) {
+    return servicesOfKind(view.snapshot, "model")
+        .filter(([, declared]) => !versionIsRecalled(view.snapshot, declared.model, declared.version))
+        .map(([service, declared]) => {
+            const wanted = declared.replicas[view.availabilityZone] ?? 0;
+            const healthy = activeOf(view, service).filter(group => !isWeak(view, group));
+            const current = healthy.filter(group => isCurrent(group, declared)).length;
+            const surge = Math.max(1, Math.ceil(wanted * surgeShare));
+            const missing = Math.min(wanted - current, wanted + surge - healthy.length);
+            return needOf({ service, declared: wanted, present: healthy.length, missing, priority: declared.priority });
+        });
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 /** Decisions without input or output. Clocks, randomness and rows come in as values; decisions go out as values. */
 export * from "./config";
+export * from "./control";
 export * from "./evidence";
 export * from "./groups";
 export * from "./lease";
--- a/packages/core/src/lease/index.ts
+++ b/packages/core/src/lease/index.ts
@@ -1,2 +1,11 @@
 /** Holding a zone's control lease without comparing clocks. */
-export { initialLease, type LeaseState, type LeaseStep, mayAct, nextLeaseStep, noteRead, noteRenewed } from "./lease";
+export {
+    initialLease,
+    type LeaseState,
+    type LeaseStep,
+    mayAct,
+    nextLeaseStep,
+    noteAsked,
+    noteRead,
+    type StoredLease,
+} from "./lease";
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -3,6 +3,8 @@
 export * from "./engine";
 export * from "./fleet";
 export * from "./outcome";
+export * from "./rowKeys";
 export * from "./rows";
 export * from "./settings";
+export * from "./table";
 export * from "./ticket";
