Fuzz zone control in virtual time against a simple oracle

Cause: decisions on leases, groups and orders were tried only on the sunny path.

Change: lab/fakes holds a table with the real conditions, engines with and without fencing, and processes with clocks of unlike offset and speed that run the real zone control; 17 kinds of fault and change by name. Checked at every change of rows and every judgement: no instance in two groups, owners and groups agree, only the holder writes, at most one holder, no group served without a member beyond the age that evidence may have. In the end everything that can serve does.

--- /dev/null
+++ b/packages/lab/src/fakes/__tests__/zoneFuzz.test.ts
@@ -0,0 +1,71 @@
+/** Control under random faults, in virtual time, against what must hold whatever happens. */
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { applyFault, FakeZone, heal, type ZoneFault, zoneFaultNames } from "..";
+
+const runs = Number(process.env.FUZZ_RUNS ?? 40);
+const seed = Number(process.env.FUZZ_SEED ?? 5);
+const settleMs = 60_000;
+
+const fault: fc.Arbitrary<ZoneFault> = fc.record({
+    kind: fc.constantFrom(...zoneFaultNames),
+    target: fc.nat({ max: 23 }),
+    durationMs: fc.integer({ min: 200, max: 9_000 }),
+});
+const step = fc.record({ fault, waitMs: fc.integer({ min: 0, max: 3_000 }) });
+
+const zones = [
+    { name: "instances to spare", replicas: 3, groupSize: 4, fencingShare: 0.5 },
+    { name: "none to spare", replicas: 6, groupSize: 4, fencingShare: 0.5 },
+    { name: "groups of two, engines that ignore fencing", replicas: 8, groupSize: 2, fencingShare: 0 },
+];
+
+/** How many replicas could serve: whole groups of usable instances in each fabric domain. */
+function possibleReplicas(zone: FakeZone): number {
+    const left = new Set(zone.instancesInState("leaving"));
+    const recalled = [...zone.snapshot.recalls.values()].flatMap(recall =>
+        recall.kind === "instances" ? recall.instances : []
+    );
+    const usable = [...zone.engines.values()].filter(engine =>
+        engine.alive && !left.has(engine.instance) && !recalled.includes(engine.instance)
+    );
+    const domains = new Set(usable.map(engine => engine.options.fabricDomain));
+    const whole = [...domains].map(domain =>
+        Math.floor(usable.filter(engine => engine.options.fabricDomain === domain).length / zone.spec.groupSize)
+    );
+    return Math.min(zone.spec.replicas, whole.reduce((sum, count) => sum + count, 0));
+}
+
+for (const { name, ...shape } of zones) {
+    test(`nothing unsafe happens, and what can serve does in the end: ${name}`, () => {
+        fc.assert(
+            fc.property(fc.nat(), fc.array(step, { minLength: 3, maxLength: 14 }), (zoneSeed, steps) => {
+                const zone = new FakeZone({
+                    ...shape,
+                    seed: zoneSeed,
+                    controllers: 3,
+                    domains: 3,
+                    instancesPerDomain: 8,
+                    loadMs: 400,
+                    weightsMs: 20,
+                    listLagMs: 2_000,
+                });
+                zone.timer.advance(5_000);
+                for (const { fault: next, waitMs } of steps) {
+                    applyFault(zone, next);
+                    zone.timer.advance(waitMs);
+                    assert.equal(zone.violations, []);
+                }
+                zone.timer.advance(10_000);
+                heal(zone);
+                zone.timer.advance(settleMs);
+                assert.equal(zone.violations, []);
+                assert.is(zone.trulyServing().length, possibleReplicas(zone));
+            }),
+            { seed, numRuns: runs, endOnFailure: false },
+        );
+    });
+}
+
+test.run();
--- /dev/null
+++ b/packages/lab/src/fakes/fakeZone.ts
@@ -0,0 +1,239 @@
+/** A zone in virtual time: several controllers against one table and many engines, with every fault on demand. */
+import {
+    breakUps,
+    emptySnapshot,
+    loadOrders,
+    repairOrders,
+    rollouts,
+    type Snapshot,
+    spareChoices,
+    type ZoneControlOptions,
+} from "@rattanquay/core";
+import { GroupRow, type Instance, InstanceRow, type ModelService, Service, zonePartition } from "@rattanquay/schema";
+import { VirtualTimer } from "@rattanquay/timer";
+import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
+import { FakeController, type TableFault } from "./fakeController";
+import { FakeEngine } from "./fakeEngine";
+import { FakeTable } from "./fakeTable";
+
+export type FakeZoneSpec = {
+    readonly seed: number;
+    readonly controllers: number;
+    readonly domains: number;
+    readonly instancesPerDomain: number;
+    readonly groupSize: number;
+    readonly replicas: number;
+    readonly loadMs: number;
+    /** How long the weight store takes for one instance's weights; one after the other. */
+    readonly weightsMs: number;
+    /** The share of engines that refuse an old fencing number. */
+    readonly fencingShare: number;
+    readonly listLagMs: number;
+    readonly policies?: Partial<ZoneControlOptions["policies"]>;
+};
+
+export const fakeZoneName = "zone-a";
+export const fakeService = "assistant";
+const watchMs = 100;
+const evidenceMaxAgeMs = 1_000;
+const leaseMs = 3_000;
+
+export const bestPolicies: ZoneControlOptions["policies"] = {
+    repairOrder: repairOrders.mostLacking,
+    spareChoice: spareChoices.bestFit,
+    breakUp: breakUps.whenUseful,
+    rollout: rollouts.surgeFirst,
+    loadOrder: loadOrders.cachedThenMostLacking,
+};
+
+/** Numbers in [0, 1) from a seed. */
+export function seededRandom(seed: number): () => number {
+    const generator = xoroshiro128plus(seed);
+    const range = 2 ** 24;
+    return () => unsafeUniformIntDistribution(0, range - 1, generator) / range;
+}
+
+export class FakeZone {
+    readonly timer = new VirtualTimer();
+    readonly table = new FakeTable();
+    readonly engines = new Map<string, FakeEngine>();
+    readonly controllers: FakeController[] = [];
+    /** What was found wrong, first things first. */
+    readonly violations: string[] = [];
+    readonly random: () => number;
+    fault: TableFault = { down: false, slowMs: 0, loseAnswers: 0 };
+    orderDelayMs = 5;
+    snapshot: Snapshot;
+    private listed: readonly Instance[] = [];
+    private readonly leaving = new Set<string>();
+    private weightsFreeAtMs = 0;
+
+    constructor(readonly spec: FakeZoneSpec) {
+        this.random = seededRandom(spec.seed);
+        this.snapshot = { ...emptySnapshot, revision: 1 };
+        this.declare({});
+        for (let domain = 0; domain < spec.domains; domain++) {
+            for (let index = 0; index < spec.instancesPerDomain; index++) {
+                this.addEngine(`d${domain}-i${index}`, `d${domain}`);
+            }
+        }
+        this.publishList();
+        this.timer.every(watchMs, () => this.engines.forEach(engine => engine.watch(name => this.engines.get(name))));
+        Array.from({ length: spec.controllers }, (unused, index) => this.startController(`entry-${index}`));
+    }
+
+    /** Declares the service anew: another version, shape or count. */
+    declare(change: Partial<ModelService>): void {
+        const { groupSize, replicas } = this.spec;
+        const before = this.snapshot.services.get(fakeService) ?? Service.parse({
+            kind: "model",
+            model: "stand-in",
+            version: "v1",
+            replicas: { [fakeZoneName]: replicas },
+            groupSize,
+        });
+        const services = new Map([[fakeService, { ...before, ...change } as ModelService]]);
+        this.snapshot = { ...this.snapshot, revision: this.snapshot.revision + 1, services };
+    }
+
+    recall(name: string, instances: readonly string[]): void {
+        const recalls = new Map(this.snapshot.recalls);
+        if (instances.length === 0) {
+            recalls.delete(name);
+        }
+        else {
+            recalls.set(name, { kind: "instances", instances: [...instances] });
+        }
+        this.snapshot = { ...this.snapshot, revision: this.snapshot.revision + 1, recalls };
+    }
+
+    leave(instance: string): void {
+        this.leaving.add(instance);
+        this.timer.after(this.spec.listLagMs, () => this.publishList());
+    }
+
+    restartController(index: number): void {
+        const old = this.controllers[index]!;
+        old.stop();
+        this.controllers[index] = this.makeController(old.name);
+    }
+
+    /** Instances that are leaving or live in truth, whatever the list says yet. */
+    instancesInState(state: Instance["state"]): readonly string[] {
+        return [...this.engines.keys()].filter(name => this.leaving.has(name) === (state === "leaving"));
+    }
+
+    groups(): readonly GroupRow[] {
+        const rows = this.table.list(zonePartition(fakeZoneName));
+        return rows.filter(row => row.key.startsWith("group/")).map(row => GroupRow.parse(row.body));
+    }
+
+    /** Groups whose members are all ready in truth and for the same group. */
+    trulyServing(): readonly GroupRow[] {
+        return this.groups().filter(group =>
+            group.state === "active" && group.members.every(({ instance, bootId }) => {
+                const engine = this.engines.get(instance);
+                return engine !== undefined && !engine.paused && engine.isReady && engine.group === group.group
+                    && engine.bootId() === bootId;
+            })
+        );
+    }
+
+    private startController(name: string): void {
+        this.controllers.push(this.makeController(name));
+    }
+
+    private makeController(name: string): FakeController {
+        const clock = { offsetMs: Math.floor(this.random() * 1_000_000), rate: 0.95 + this.random() * 0.1 };
+        return new FakeController(name, {
+            timer: this.timer,
+            table: this.table,
+            random: this.random,
+            engines: this.engines,
+            listed: () => this.listed,
+            snapshot: () => this.snapshot,
+            fault: () => this.fault,
+            orderDelayMs: () => this.orderDelayMs * (0.5 + this.random()),
+            onChange: fence => this.checkRows(fence),
+            onJudged: controller => this.checkJudgement(controller),
+            entryCount: this.spec.controllers,
+            control: {
+                holder: name,
+                availabilityZone: fakeZoneName,
+                leaseMs,
+                evidenceMaxAgeMs,
+                policies: { ...bestPolicies, ...this.spec.policies },
+            },
+        }, clock);
+    }
+
+    private addEngine(instance: string, fabricDomain: string): void {
+        const { timer, spec } = this;
+        const fetchWeights = (): number => {
+            this.weightsFreeAtMs = Math.max(this.weightsFreeAtMs, timer.nowMs()) + spec.weightsMs;
+            return this.weightsFreeAtMs;
+        };
+        const checksFence = this.random() < spec.fencingShare;
+        const { loadMs } = spec;
+        this.engines.set(
+            instance,
+            new FakeEngine({ instance, fabricDomain, checksFence, loadMs, fetchWeights, timer }),
+        );
+    }
+
+    private publishList(): void {
+        this.listed = [...this.engines.values()].map(({ instance, options: { fabricDomain } }) => ({
+            instance,
+            address: instance,
+            availabilityZone: fakeZoneName,
+            fabricDomain,
+            state: this.leaving.has(instance) ? "leaving" : "live",
+        }));
+    }
+
+    /** No instance in two groups, owners and groups agree, and only the holder writes. */
+    private checkRows(writerFence: number | undefined): void {
+        const lease = this.table.read({ partition: "lease", key: fakeZoneName });
+        if (lease?.fence !== writerFence) {
+            this.violations.push(`a writer with fence ${writerFence} changed groups under lease ${lease?.fence}`);
+        }
+        const members = this.groups().flatMap(group => group.members.map(member => [member.instance, group] as const));
+        const owners = new Map<string, string>();
+        for (const [instance, { group }] of members) {
+            if (owners.has(instance)) {
+                this.violations.push(`${instance} is in ${owners.get(instance)} and ${group}`);
+            }
+            owners.set(instance, group);
+        }
+        for (const row of this.table.list(zonePartition(fakeZoneName))) {
+            if (row.key.startsWith("instance/")) {
+                const { instance, group } = InstanceRow.parse(row.body);
+                if (owners.get(instance) !== group) {
+                    this.violations.push(`${instance} is owned by ${group} and a member of ${owners.get(instance)}`);
+                }
+            }
+        }
+    }
+
+    /** A group that a process would give work to must have been whole within the age that evidence may have. */
+    private checkJudgement(controller: FakeController): void {
+        const holders = this.controllers.filter(other => other.mayAct());
+        if (holders.length > 1) {
+            this.violations.push(`${holders.map(({ name }) => name).join(" and ")} hold the lease together`);
+        }
+        const sinceMs = this.timer.nowMs() - evidenceMaxAgeMs * 1.1;
+        for (const group of controller.groups) {
+            if (controller.standings.get(group.group)?.kind !== "serving") {
+                continue;
+            }
+            const wrong = group.members.find(({ instance, bootId }) => {
+                const engine = this.engines.get(instance)!;
+                const holds = engine.isReady && engine.group === group.group && engine.bootId() === bootId;
+                return !holds && engine.changedAtMs < sinceMs;
+            });
+            if (wrong !== undefined) {
+                this.violations.push(`${controller.name} serves ${group.group} without ${wrong.instance}`);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/lab/src/fakes/zoneFaults.ts
@@ -0,0 +1,70 @@
+/** Faults of a fake zone by name, as a fuzzer or an experiment strings them together. */
+import { type FakeZone } from "./fakeZone";
+
+/** One fault or change: what, on which instance or process, and for how long. */
+export type ZoneFault = { readonly kind: ZoneFaultName; readonly target: number; readonly durationMs: number };
+
+type Handler = (zone: FakeZone, fault: ZoneFault) => void;
+
+const enginesOf = (zone: FakeZone) => [...zone.engines.values()];
+const pick = <T>(things: readonly T[], target: number): T => things[target % things.length]!;
+const domainOf = (zone: FakeZone, target: number) => {
+    const { fabricDomain } = pick(enginesOf(zone), target).options;
+    return enginesOf(zone).filter(engine => engine.options.fabricDomain === fabricDomain);
+};
+
+const handlers = {
+    killInstance: (zone, { target }) => pick(enginesOf(zone), target).kill(),
+    restartInstance: (zone, { target }) => pick(enginesOf(zone), target).restart(),
+    pauseInstance: (zone, { target, durationMs }) => {
+        const engine = pick(enginesOf(zone), target);
+        engine.paused = true;
+        zone.timer.after(durationMs, () => {
+            engine.paused = false;
+        });
+    },
+    darkDomain: (zone, { target, durationMs }) => {
+        const engines = domainOf(zone, target);
+        engines.forEach(engine => engine.kill());
+        zone.timer.after(durationMs, () => engines.forEach(engine => engine.restart()));
+    },
+    freezeProcess: (zone, { target, durationMs }) => pick(zone.controllers, target).pause(durationMs),
+    freezeHolder: (zone, { durationMs }) => zone.controllers.find(other => other.mayAct())?.pause(durationMs),
+    restartProcess: (zone, { target }) => zone.restartController(target % zone.controllers.length),
+    restartAllProcesses: zone => zone.controllers.forEach((unused, index) => zone.restartController(index)),
+    tableDown: (zone, { durationMs }) => hamper(zone, durationMs, { down: true }),
+    tableSlow: (zone, { target, durationMs }) => hamper(zone, durationMs, { slowMs: 500 + target * 50 }),
+    answersLost: (zone, { durationMs }) => hamper(zone, durationMs, { loseAnswers: 0.5 }),
+    ordersLate: (zone, { target, durationMs }) => {
+        zone.orderDelayMs = target * 200;
+        zone.timer.after(durationMs, () => {
+            zone.orderDelayMs = 5;
+        });
+    },
+    changeVersion: (zone, { target }) => zone.declare({ version: `v${target}` }),
+    changeAdapter: (zone, { target }) => zone.declare({ adapter: `a${target}` }),
+    recallInstance: (zone, { target }) => zone.recall("batch", [pick(enginesOf(zone), target).instance]),
+    liftRecall: zone => zone.recall("batch", []),
+    leaveInstance: (zone, { target }) => zone.leave(pick(enginesOf(zone), target).instance),
+} satisfies Record<string, Handler>;
+
+export type ZoneFaultName = keyof typeof handlers;
+
+export const zoneFaultNames = Object.keys(handlers) as readonly ZoneFaultName[];
+
+export function applyFault(zone: FakeZone, fault: ZoneFault): void {
+    (handlers[fault.kind] as Handler)(zone, fault);
+}
+
+/** Ends every fault that ends by itself, and lets stopped instances be as they are. */
+export function heal(zone: FakeZone): void {
+    zone.fault = { down: false, slowMs: 0, loseAnswers: 0 };
+    zone.orderDelayMs = 5;
+}
+
+function hamper(zone: FakeZone, durationMs: number, fault: Partial<FakeZone["fault"]>): void {
+    zone.fault = { ...zone.fault, ...fault };
+    zone.timer.after(durationMs, () => {
+        zone.fault = { down: false, slowMs: 0, loseAnswers: 0 };
+    });
+}
