--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -4,6 +4,8 @@
 export * from "./fleet";
 export * from "./outcome";
 export * from "./peer";
+export * from "./rowKeys";
 export * from "./rows";
 export * from "./settings";
+export * from "./table";
 export * from "./ticket";
