Measure what an entry instance adds, and what it relays, beside a bare pipe

Ruled out: one phase for each way, as the engines' state differs between phases; a toss for each call gives all ways the same engines in the same state.

--- a/packages/lab/src/cluster/processCluster.ts
+++ b/packages/lab/src/cluster/processCluster.ts
@@ -17,6 +17,8 @@
     readonly engines: readonly Member[];
     readonly services: readonly Member[];
     readonly entries: EntryMember[];
+    /** Starts a further lab program; it ends with the cluster. */
+    readonly startLab: (name: string, args: readonly string[]) => Promise<Member>;
     /** Starts an entry instance again under its old name and ports. */
     readonly restartEntry: (name: string) => Promise<void>;
     readonly stop: () => Promise<void>;
@@ -129,6 +131,7 @@
         engines,
         services,
         entries,
+        startLab: (name, args) => runLab(name, args, "/"),
         restartEntry: async name => {
             const index = entries.findIndex(entry => entry.name === name);
             const { availabilityZone, ports } = entries[index]!;
--- /dev/null
+++ b/packages/lab/src/experiments/processorTime.ts
@@ -0,0 +1,13 @@
+/** The processor time that another process has used, as Linux keeps it. */
+import { readFileSync } from "node:fs";
+
+const ticksPerSecond = 100;
+const userTicksField = 11;
+const systemTicksField = 12;
+
+/** Seconds of processor time, user and system together. */
+export function processorSeconds(pid: number): number {
+    const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
+    const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+    return (Number(fields[userTicksField]) + Number(fields[systemTicksField])) / ticksPerSecond;
+}
--- a/packages/lab/src/load/caller.ts
+++ b/packages/lab/src/load/caller.ts
@@ -13,6 +13,7 @@
     readonly length?: number;
     readonly key?: string;
     readonly requestId?: string;
+    readonly headers?: Readonly<Record<string, string>>;
     readonly onToken?: (index: number) => void;
 };
 
@@ -95,6 +96,7 @@
                 "content-type": "application/json",
                 authorization: `Bearer ${call.key ?? callerKey}`,
                 ...(call.requestId === undefined ? {} : { "x-request-id": call.requestId }),
+                ...call.headers,
             },
             signal: AbortSignal.timeout(callTimeoutMs),
         }, response => {
--- a/packages/lab/src/runLabCommand.ts
+++ b/packages/lab/src/runLabCommand.ts
@@ -3,6 +3,7 @@
 import { demo } from "./demo";
 import { type EngineOptions, startEngine } from "./engine";
 import { runExperiment } from "./experiments";
+import { startPipe } from "./pipe";
 import { startPlatform } from "./platform";
 import { startService } from "./service";
 
@@ -13,6 +14,7 @@
     platform: { usage: "platform --port N [--list-lag-ms N] [--weight-bytes-per-second N]", run: runPlatform },
     engine: { usage: "engine --port N --options JSON", run: runEngine },
     service: { usage: "service --port N", run: runService },
+    pipe: { usage: "pipe --port N --to HOST:PORT[,…]", run: runPipe },
     experiment: {
         usage: "experiment NAME [--seed N] [--workload FILE] [--policy NAME] [--seconds N] [--json]",
         run: runExperiment,
@@ -64,3 +66,8 @@
     const { values } = parseArgs({ args: [...args], options: { port: { type: "string" } } });
     await startService({ port: Number(values.port ?? 0) });
 }
+
+async function runPipe(args: readonly string[]): Promise<undefined> {
+    const { values } = parseArgs({ args: [...args], options: { port: { type: "string" }, to: { type: "string" } } });
+    await startPipe(Number(values.port ?? 0), (values.to ?? "").split(","));
+}
