--- a/packages/lab/src/cluster/processCluster.ts
+++ b/packages/lab/src/cluster/processCluster.ts
@@ -28,6 +28,8 @@
     readonly engines: readonly Member[];
     readonly services: readonly Member[];
     readonly entries: EntryMember[];
+    /** Starts a further lab program; it ends with the cluster. */
+    readonly startLab: (name: string, args: readonly string[]) => Promise<Member>;
     /** Starts an entry instance again under its old name and ports. */
     readonly restartEntry: (name: string) => Promise<void>;
     /** The ways that can be cut, when the spec asks for them. */
@@ -167,6 +169,7 @@
         services,
         entries,
         network,
+        startLab: (name, args) => runLab(name, args, "/"),
         restartEntry: async name => {
             const index = entries.findIndex(entry => entry.name === name);
             const { availabilityZone, ports } = entries[index]!;
