--- a/packages/entry/src/fleet/fleetTask.ts
+++ b/packages/entry/src/fleet/fleetTask.ts
@@ -79,6 +79,7 @@
         evidenceMaxAgeMs: intervals.evidenceMaxAgeMs,
         timer,
         hash,
+        onProbes: (cause, count) => surroundings.metrics.probes.inc({ cause }, count),
         onFinding: (instance, finding) => send({ kind: "finding", instance, finding }),
     });
     const mailbox: Mailbox<Message> = startTask<Message>({
--- a/packages/entry/src/fleet/probing.ts
+++ b/packages/entry/src/fleet/probing.ts
@@ -16,6 +16,7 @@
     readonly evidenceMaxAgeMs: number;
     readonly timer: Timer;
     readonly hash: Hash;
+    readonly onProbes: (cause: "share" | "ageing", count: number) => void;
     readonly onFinding: (instance: string, finding: Finding) => void;
 };
 
@@ -34,7 +35,7 @@
 };
 
 /** Evidence past this part of its life is refreshed by an own probe. */
-const refreshAfterShare = 0.6;
+const refreshAfterShare = 0.75;
 const maxExtraProbes = 32;
 
 export function makeProbing(options: Options): Probing {
@@ -82,6 +83,8 @@
                 return !isShare(instance) && ageMs > evidenceMaxAgeMs * refreshAfterShare;
             });
             const extra = rotate(ageing, nowMs).slice(0, maxExtraProbes);
+            options.onProbes("share", own.length);
+            options.onProbes("ageing", extra.length);
             [...own, ...extra].forEach(([instance, address]) => void probeOne(instance, address));
         },
         stop: () => prober.stop(),
--- a/packages/entry/src/peers/peersHandlers.ts
+++ b/packages/entry/src/peers/peersHandlers.ts
@@ -31,6 +31,13 @@
     readonly dialTo: (address: string) => void;
 };
 
+function countTraffic({ surroundings: { metrics }, state }: PeersParts): void {
+    const { bytes, messages } = state.traffic();
+    metrics.peerBytes.inc(bytes - state.counted.bytes);
+    metrics.peerMessages.inc(messages - state.counted.messages);
+    state.counted = { bytes, messages };
+}
+
 /** Missed heartbeats after which a peer is suspect, and dead. */
 const suspectAfterBeats = 3;
 const deadAfterBeats = 8;
@@ -62,6 +69,7 @@
             });
             state.connections.forEach(connection => beatOn(parts, connection, nowMs));
             closeSilent(state);
+            countTraffic(parts);
             publish(parts, nowMs);
         },
         dial: () => dialDue(parts),
@@ -132,7 +140,7 @@
     }
 }
 
-function beatOn({ surroundings, configuration, fleet, isReady, own }: PeersParts, to: Connection, nowMs: number): void {
+function beatOn({ configuration, fleet, isReady, own }: PeersParts, to: Connection, nowMs: number): void {
     const { peer, link, ledger } = to;
     if (peer === undefined) {
         return;
@@ -153,7 +161,6 @@
     if (!sameZone) {
         tellSummary(to, configuration, zone);
     }
-    void surroundings;
 }
 
 /** Between zones only the number of serving replicas goes, and only when it has changed. */
--- a/packages/entry/src/peers/peersState.ts
+++ b/packages/entry/src/peers/peersState.ts
@@ -15,6 +15,8 @@
     /** Addresses that turned out to be this process's own. */
     readonly ownAddresses: Set<string>;
     askNotBeforeMs: number;
+    /** What the metrics have counted so far. */
+    counted: { readonly bytes: number; readonly messages: number };
     caughtUp: boolean;
     readonly startedAtMs: number;
     readonly takeId: () => number;
@@ -36,6 +38,7 @@
         dialing: makeDialing({ ownProcess: own.process, nowMs: timer.nowMs, random }),
         ownAddresses: new Set([own.peerAddress]),
         askNotBeforeMs: 0,
+        counted: { bytes: 0, messages: 0 },
         caughtUp: false,
         startedAtMs: timer.nowMs(),
         takeId: () => nextId++,
--- a/packages/lab/src/cluster/index.ts
+++ b/packages/lab/src/cluster/index.ts
@@ -2,5 +2,6 @@
 export { operate, servingReplicas, submit, untilServing } from "./clusterClient";
 export { callerKey, type ClusterSpec, defaultSpec, operatorKey, ticketFor, zoneNames } from "./clusterSpec";
 export { type EmbeddedCluster, startEmbeddedCluster } from "./embeddedCluster";
-export { type ProcessCluster, startProcessCluster } from "./processCluster";
+export { type EntrySwarmOptions, startEntrySwarm } from "./entrySwarm";
+export { type EntryMember, type ProcessCluster, startProcessCluster } from "./processCluster";
 export { until } from "./until";
--- /dev/null
+++ b/packages/lab/src/experiments/slopes.ts
@@ -0,0 +1,206 @@
+/**
+ * What control costs a process, by the number of peers, of instances and of replicas, with a line through the sizes.
+ *
+ * Two entry instances run as processes of their own and are measured, one that holds the zone's lease and one that does
+ * not. All other peers share a process, and so do all instances. Intervals are those meant for the size of the letter.
+ */
+import { type Settings } from "@rattanquay/schema";
+import { sleep, systemTimer } from "@rattanquay/timer";
+import { readFileSync } from "node:fs";
+import { type z } from "zod";
+import {
+    type ClusterSpec,
+    defaultSpec,
+    type EntryMember,
+    operate,
+    type ProcessCluster,
+    startProcessCluster,
+    submit,
+    ticketFor,
+    untilServing,
+} from "../cluster";
+import { type Experiment, type Figures, parseExperimentArgs, printResult } from "./experiment";
+import { processorSeconds } from "./processorTime";
+
+/** One point: how many of each stand before the measured processes. */
+type Size = { readonly peers: number; readonly instances: number; readonly groupSize: number };
+
+/** Costs of one process over the time that was measured. */
+type Costs = Readonly<Record<CostName, number>>;
+const costNames = [
+    "peerBytesPerSecond",
+    "allBytesPerSecond",
+    "peerMessagesPerSecond",
+    "probesPerSecond",
+    "coreShare",
+    "residentMB",
+] as const;
+type CostName = typeof costNames[number];
+
+type Reading = { readonly atMs: number } & Readonly<Record<CostName, number>>;
+
+const roles = ["leaseHolder", "other"] as const;
+type Role = typeof roles[number];
+type Point = { readonly size: Size; readonly costs: Readonly<Record<Role, Costs>> };
+
+const small: Size = { peers: 16, instances: 64, groupSize: 8 };
+
+/** Each series changes one number alone; replicas are the instances divided by the group's size. */
+const series: Readonly<Record<string, { readonly sizes: readonly Size[]; readonly xOf: (size: Size) => number }>> = {
+    peers: { sizes: [8, 16, 32, 49].map(peers => ({ ...small, peers })), xOf: ({ peers }) => peers },
+    instances: {
+        sizes: [64, 176, 344, 688].map(instances => ({ ...small, instances })),
+        xOf: ({ instances }) => instances,
+    },
+    replicas: {
+        sizes: [16, 8, 4, 2].map(groupSize => ({ ...small, instances: 256, groupSize })),
+        xOf: ({ instances, groupSize }) => instances / groupSize,
+    },
+    letterZone: { sizes: [{ peers: 49, instances: 688, groupSize: 8 }], xOf: () => 0 },
+};
+
+export const intervalsAtSize: Partial<z.input<typeof Settings>["intervals"] & object> = {
+    configPollMs: 5_000,
+    instanceListPollMs: 5_000,
+    groupPollMs: 2_000,
+    probeMs: 1_000,
+    heartbeatMs: 1_000,
+    evidenceMaxAgeMs: 3_000,
+    controlMs: 1_000,
+};
+
+const instancesPerDomain = 64;
+const settleMs = 5_000;
+const serveTimeoutMs = 60_000;
+const defaultSeconds = 8;
+
+export const slopes: Experiment = async args => {
+    const { seed, seconds = defaultSeconds, policy } = parseExperimentArgs(args);
+    const chosen = Object.entries(series).filter(([name]) => policy === undefined || policy === name);
+    const figures: Record<string, Record<string, number>> = {};
+    for (const [name, { sizes, xOf }] of chosen) {
+        const points: Point[] = [];
+        for (const size of sizes) {
+            const point = await measure(size, seconds);
+            points.push(point);
+            process.stdout.write(`${name} ${JSON.stringify(point)}\n`);
+        }
+        Object.assign(figures, figuresOf(name, points, xOf));
+    }
+    printResult("slopes", seed, figures as Figures);
+    return 0;
+};
+
+function specFor({ groupSize }: Size): ClusterSpec {
+    return {
+        ...defaultSpec,
+        zones: 1,
+        entriesPerZone: 2,
+        instancesPerDomain: 0,
+        replicasPerZone: 0,
+        groupSize,
+        services: 0,
+        settings: { intervals: intervalsAtSize, peers: { probeOverlap: 1 }, log: { level: "error" } },
+    };
+}
+
+async function measure(size: Size, seconds: number): Promise<Point> {
+    const spec = specFor(size);
+    const cluster = await startProcessCluster(spec);
+    try {
+        const platformPort = cluster.platform.port;
+        const swarm = { availabilityZone: "zone-a", instances: size.instances, instancesPerDomain, platformPort };
+        await cluster.startLab("instances", ["instances", "--options", JSON.stringify(swarm)]);
+        const zones = Array.from({ length: size.peers - 1 }, () => "zone-a");
+        const peers = { spec, platformPort, zones };
+        await cluster.startLab("peers", ["entries", "--options", JSON.stringify(peers)]);
+        const replicas = size.instances / size.groupSize;
+        const ports = cluster.entries.map(entry => entry.ports.operators);
+        await submit(ports[0]!, ticketFor({ ...spec, replicasPerZone: replicas }, { ticket: 2, servicePorts: [] }));
+        await untilServing(ports, "assistant", replicas, serveTimeoutMs);
+        await sleep(systemTimer, settleMs);
+        return { size, costs: await costsOf(cluster, seconds) };
+    }
+    finally {
+        await cluster.stop();
+    }
+}
+
+async function costsOf(cluster: ProcessCluster, seconds: number): Promise<Readonly<Record<Role, Costs>>> {
+    const before = await Promise.all(cluster.entries.map(readOne));
+    await sleep(systemTimer, seconds * 1_000);
+    const after = await Promise.all(cluster.entries.map(readOne));
+    const holds = await Promise.all(
+        cluster.entries.map(async ({ ports }) =>
+            (await operate(ports.operators, "/v1/status") as { readonly holdsLease: boolean }).holdsLease
+        ),
+    );
+    const costs = before.map((reading, index) => difference(reading, after[index]!));
+    const holder = holds.indexOf(true);
+    // Without a holder among them both are "other".
+    return { leaseHolder: costs[Math.max(0, holder)]!, other: costs[holder === 0 ? 1 : 0]! };
+}
+
+async function readOne({ child, ports }: EntryMember): Promise<Reading> {
+    const pid = child.pid!;
+    const metrics = await (await fetch(`http://127.0.0.1:${ports.operators}/metrics`)).text();
+    const metric = (name: string): number =>
+        [...metrics.matchAll(new RegExp(`^${name}(?:\\{[^}]*\\})? (\\S+)$`, "gm"))]
+            .reduce((sum, match) => sum + Number(match[1]), 0);
+    return {
+        atMs: systemTimer.nowMs(),
+        peerBytesPerSecond: metric("rattanquay_peer_bytes_total"),
+        allBytesPerSecond: bytesMoved(pid),
+        peerMessagesPerSecond: metric("rattanquay_peer_messages_total"),
+        probesPerSecond: metric("rattanquay_probes_total"),
+        coreShare: processorSeconds(pid),
+        residentMB: residentMB(pid),
+    };
+}
+
+function difference(before: Reading, after: Reading): Costs {
+    const seconds = (after.atMs - before.atMs) / 1_000;
+    const rate = (name: CostName): number => Number(((after[name] - before[name]) / seconds).toFixed(5));
+    const costs = Object.fromEntries(costNames.map(name => [name, rate(name)])) as Record<CostName, number>;
+    return { ...costs, residentMB: after.residentMB };
+}
+
+/** What the process has read and written, as Linux counts it: sockets and files, without TCP and IP headers. */
+function bytesMoved(pid: number): number {
+    const counts = readFileSync(`/proc/${pid}/io`, "utf8");
+    const count = (name: string): number => Number(new RegExp(`^${name}: (\\d+)`, "m").exec(counts)?.[1] ?? 0);
+    return count("rchar") + count("wchar");
+}
+
+function residentMB(pid: number): number {
+    const kB = /VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, "utf8"))?.[1];
+    return Math.round(Number(kB ?? 0) / 1_024 * 10) / 10;
+}
+
+/** For each cost the line's slope and its value at zero, and what was measured at the greatest size. */
+function figuresOf(
+    name: string,
+    points: readonly Point[],
+    xOf: (size: Size) => number,
+): Record<string, Record<string, number>> {
+    return Object.fromEntries(roles.map(role => [
+        `${name}.${role}`,
+        Object.fromEntries(costNames.flatMap(cost => {
+            const line = fit(points.map(({ size, costs }) => ({ x: xOf(size), y: costs[role][cost] })));
+            return [
+                [`${cost}Slope`, line.slope],
+                [`${cost}AtZero`, line.atZero],
+                [`${cost}AtGreatest`, points.at(-1)!.costs[role][cost]],
+            ] as const;
+        })),
+    ]));
+}
+
+/** Least squares. */
+function fit(points: readonly { readonly x: number; readonly y: number }[]) {
+    const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length;
+    const [x, y] = [mean(points.map(point => point.x)), mean(points.map(point => point.y))];
+    const spread = points.reduce((sum, point) => sum + (point.x - x) ** 2, 0);
+    const slope = spread === 0 ? 0 : points.reduce((sum, point) => sum + (point.x - x) * (point.y - y), 0) / spread;
+    return { slope: Number(slope.toPrecision(4)), atZero: Number((y - slope * x).toPrecision(4)) };
+}
--- a/packages/lab/src/runLabCommand.ts
+++ b/packages/lab/src/runLabCommand.ts
@@ -1,8 +1,10 @@
 /** Finds a lab command and runs it; stand-ins run until they are ended. */
 import { parseArgs } from "node:util";
+import { type EntrySwarmOptions, startEntrySwarm } from "./cluster";
 import { demo } from "./demo";
-import { type EngineOptions, startEngine } from "./engine";
+import { type EngineOptions, type InstanceSwarmOptions, startEngine, startInstanceSwarm } from "./engine";
 import { runExperiment } from "./experiments";
+import { listen, sendJson } from "./httpServer";
 import { startPipe } from "./pipe";
 import { startPlatform } from "./platform";
 import { startService } from "./service";
@@ -15,6 +17,8 @@
     engine: { usage: "engine --port N --options JSON", run: runEngine },
     service: { usage: "service --port N", run: runService },
     pipe: { usage: "pipe --port N --to HOST:PORT[,…]", run: runPipe },
+    instances: { usage: "instances --port N --options JSON", run: runInstances },
+    entries: { usage: "entries --port N --options JSON", run: runEntries },
     experiment: {
         usage: "experiment NAME [--seed N] [--workload FILE] [--policy NAME] [--seconds N] [--json]",
         run: runExperiment,
@@ -71,3 +75,24 @@
     const { values } = parseArgs({ args: [...args], options: { port: { type: "string" }, to: { type: "string" } } });
     await startPipe(Number(values.port ?? 0), (values.to ?? "").split(","));
 }
+
+/** Answers on its port once all of the swarm listen. */
+async function runInstances(args: readonly string[]): Promise<undefined> {
+    const { port, options } = parseSwarmArgs(args);
+    await startInstanceSwarm(options as InstanceSwarmOptions);
+    await listen(port, (unusedRequest, response) => sendJson(response, 200, {}));
+}
+
+async function runEntries(args: readonly string[]): Promise<undefined> {
+    const { port, options } = parseSwarmArgs(args);
+    await startEntrySwarm(options as EntrySwarmOptions);
+    await listen(port, (unusedRequest, response) => sendJson(response, 200, {}));
+}
+
+function parseSwarmArgs(args: readonly string[]): { readonly port: number; readonly options: unknown } {
+    const { values } = parseArgs({
+        args: [...args],
+        options: { port: { type: "string" }, options: { type: "string" } },
+    });
+    return { port: Number(values.port ?? 0), options: JSON.parse(values.options ?? "{}") };
+}
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -72,6 +72,22 @@
             registers,
         }),
         peers: new Gauge({ name: "rattanquay_peers", help: "Peers by state.", labelNames: ["state"], registers }),
+        peerBytes: new Counter({
+            name: "rattanquay_peer_bytes_total",
+            help: "Bytes over peer links, both directions, without TCP and IP headers.",
+            registers,
+        }),
+        peerMessages: new Counter({
+            name: "rattanquay_peer_messages_total",
+            help: "Messages over peer links, both directions.",
+            registers,
+        }),
+        probes: new Counter({
+            name: "rattanquay_probes_total",
+            help: "Probes of instances, as this process's share or because shared evidence was about to get too old.",
+            labelNames: ["cause"],
+            registers,
+        }),
         leaseHeld: new Gauge({
             name: "rattanquay_lease_held",
             help: "1 while this process holds its zone's control lease.",
