Let the judging interval be set, and pass instances only to whoever lacks the list

Change: intervals.judgeMs (default 50); instances and places go only to a process that has not read the platform's list.

--- a/packages/entry/src/fleet/fleetTask.ts
+++ b/packages/entry/src/fleet/fleetTask.ts
@@ -50,8 +50,6 @@
     readonly stop: () => void;
 };
 
-const judgeIntervalMs = 50;
-
 /** All that the task owns. */
 type State = {
     snapshot: Snapshot;
@@ -91,7 +89,7 @@
         timer.every(intervals.instanceListPollMs, () => send({ kind: "pollInstances" })),
         timer.every(intervals.groupPollMs, () => send({ kind: "pollGroups" })),
         timer.every(intervals.probeMs, () => send({ kind: "probe" })),
-        timer.every(judgeIntervalMs, () => send({ kind: "judge" })),
+        timer.every(intervals.judgeMs, () => send({ kind: "judge" })),
     ];
     send({ kind: "pollInstances" });
     send({ kind: "pollGroups" });
@@ -221,7 +219,7 @@
 
 /** The platform's own list, once read, goes before a peer's copy of it; groups go by their version. */
 function takePassedZone(state: State, zone: PassedZone, { log }: Surroundings): void {
-    if (!state.listKnown) {
+    if (!state.listKnown && zone.instances.length > 0) {
         state.list = { ...state.list, instances: zone.instances };
     }
     if (zone.version > (state.groupsVersion ?? -Infinity)) {
--- a/packages/entry/src/peers/messageHandlers.ts
+++ b/packages/entry/src/peers/messageHandlers.ts
@@ -67,7 +67,7 @@
     }
 }
 
-/** Sends only what the asker lacks. */
+/** Sends only what the asker lacks; instances and places only to whoever has not read the platform's list. */
 function answerStateAsk({ configuration, fleet, state, own }: PeersParts, from: Connection, ask: Of<"stateAsk">): void {
     const { known, snapshot } = configuration.feed.latest();
     const zone = fleet.feed.latest();
@@ -77,7 +77,7 @@
         kind: "state",
         ...(known && snapshot.revision > ask.revision ? { snapshot: passSnapshot(snapshot) } : {}),
         ...(sameZone && version !== undefined && version > ask.zoneVersion
-            ? { zone: { version, groups: [...zone.groups], instances: [...zone.instances] } }
+            ? { zone: { version, groups: [...zone.groups], instances: ask.wantsPlaces ? [...zone.instances] : [] } }
             : {}),
         places: ask.wantsPlaces ? [...state.places(zone.entries)] : [],
     });
--- a/packages/lab/src/cluster/entrySwarm.ts
+++ b/packages/lab/src/cluster/entrySwarm.ts
@@ -8,13 +8,15 @@
 export type EntrySwarmOptions = {
     readonly spec: ClusterSpec;
     readonly platformPort: number;
+    /** Begins each name. */
+    readonly prefix: string;
     /** The zone of each. */
     readonly zones: readonly string[];
 };
 
-export async function startEntrySwarm({ spec, platformPort, zones }: EntrySwarmOptions): Promise<void> {
+export async function startEntrySwarm({ spec, platformPort, prefix, zones }: EntrySwarmOptions): Promise<void> {
     await Promise.all(zones.map(async (availabilityZone, index) => {
-        const id = `peer-${availabilityZone}-${index}`;
+        const id = `${prefix}-${index}`;
         const ports = { callers: 0, operators: 0, peers: 0 };
         const entry = await startEntry({
             settings: settingsFor(spec, { id, availabilityZone, platformPort, ports }),
--- a/packages/schema/src/settings.ts
+++ b/packages/schema/src/settings.ts
@@ -45,6 +45,8 @@
     /** How often each instance is probed by each of its probers. */
     probeMs: DurationMs.default(250),
     heartbeatMs: DurationMs.default(250),
+    /** How often the zone's groups are judged anew. */
+    judgeMs: DurationMs.default(50),
     /** Evidence older than this counts as missing. */
     evidenceMaxAgeMs: DurationMs.default(1_000),
     leaseMs: DurationMs.default(3_000),
