--- a/packages/lab/src/fakes/zoneFaults.ts
+++ b/packages/lab/src/fakes/zoneFaults.ts
@@ -33,7 +33,7 @@
     restartProcess: (zone, { target }) => zone.restartController(target % zone.controllers.length),
     restartAllProcesses: zone => zone.controllers.forEach((unused, index) => zone.restartController(index)),
     tableDown: (zone, { durationMs }) => hamper(zone, durationMs, { down: true }),
-    tableSlow: (zone, { target, durationMs }) => hamper(zone, durationMs, { slowMs: 500 + target * 50 }),
+    tableSlow: (zone, { target, durationMs }) => hamper(zone, durationMs, { slowMs: 500 + target * 400 }),
     answersLost: (zone, { durationMs }) => hamper(zone, durationMs, { loseAnswers: 0.5 }),
     ordersLate: (zone, { target, durationMs }) => {
         zone.orderDelayMs = target * 200;
