--- a/packages/lab/src/fakes/fakeController.ts
+++ b/packages/lab/src/fakes/fakeController.ts
@@ -39,6 +39,8 @@
     readonly fault: () => TableFault;
     /** How late orders arrive now. */
     readonly orderDelayMs: () => number;
+    /** How long the network holds the next change of groups back. */
+    readonly changeDelayMs: () => number;
     /** Told of each change of groups that takes effect, with the writer's fencing number. */
     readonly onChange: (writerFence: number | undefined) => void;
     readonly onJudged: (controller: FakeController) => void;
@@ -114,7 +116,7 @@
 
     private poll(): void {
         const { table, control: { availabilityZone } } = this.surroundings;
-        this.call(() => {
+        this.call(0, () => {
             const head = table.read(zoneHeadKey(availabilityZone));
             const unchanged = (head?.version ?? -1) === this.headVersion;
             return { head, rows: unchanged ? [...this.rows.values()] : table.list(zonePartition(availabilityZone)) };
@@ -228,7 +230,7 @@
     };
 
     private read(at: Key, answer: (outcome: TableOutcome<Stored | undefined>) => void): void {
-        this.call(() => ({ head: this.surroundings.table.read(at), rows: [] }), outcome => {
+        this.call(0, () => ({ head: this.surroundings.table.read(at), rows: [] }), outcome => {
             answer(outcome.kind === "done" ? { kind: "done", value: outcome.value.head } : outcome);
         });
     }
@@ -240,7 +242,8 @@
         fence?: number,
     ): void {
         const { table, onChange } = this.surroundings;
-        this.call(() => {
+        const delayMs = fence === undefined ? 0 : this.surroundings.changeDelayMs();
+        this.call(delayMs, () => {
             const applied = table.transact(writes, token);
             if (applied && fence !== undefined) {
                 onChange(fence);
@@ -256,12 +259,13 @@
 
     /** Goes to the table and back; slow calls take effect after their caller has given up on them. */
     private call(
+        delayMs: number,
         effect: () => { head: Stored | undefined; rows: readonly Stored[]; applied?: boolean },
         answer: (outcome: TableOutcome<ReturnType<typeof effect>>) => void,
     ): void {
         const { timer, random, fault } = this.surroundings;
         const { down, slowMs, loseAnswers } = fault();
-        const takesMs = callMs + random() * slowMs;
+        const takesMs = callMs + random() * slowMs + delayMs;
         const lost = down || takesMs > tableTimeoutMs || random() < loseAnswers;
         if (down) {
             this.later(tableTimeoutMs, () => answer({ kind: "unavailable", reason: "down" }));
--- a/packages/lab/src/fakes/fakeZone.ts
+++ b/packages/lab/src/fakes/fakeZone.ts
@@ -63,6 +63,8 @@
     readonly random: () => number;
     fault: TableFault = { down: false, slowMs: 0, loseAnswers: 0 };
     orderDelayMs = 5;
+    /** The next change of groups takes effect this late, once. */
+    lateChangeMs = 0;
     snapshot: Snapshot;
     private listed: readonly Instance[] = [];
     private readonly leaving = new Set<string>();
@@ -154,6 +156,11 @@
             snapshot: () => this.snapshot,
             fault: () => this.fault,
             orderDelayMs: () => this.orderDelayMs * (0.5 + this.random()),
+            changeDelayMs: () => {
+                const delayMs = this.lateChangeMs;
+                this.lateChangeMs = 0;
+                return delayMs;
+            },
             onChange: fence => this.checkRows(fence),
             onJudged: controller => this.checkJudgement(controller),
             entryCount: this.spec.controllers,
--- a/packages/lab/src/fakes/zoneFaults.ts
+++ b/packages/lab/src/fakes/zoneFaults.ts
@@ -41,6 +41,9 @@
             zone.orderDelayMs = 5;
         });
     },
+    nextChangeLate: (zone, { durationMs }) => {
+        zone.lateChangeMs = durationMs;
+    },
     changeVersion: (zone, { target }) => zone.declare({ version: `v${target}` }),
     changeAdapter: (zone, { target }) => zone.declare({ adapter: `a${target}` }),
     recallInstance: (zone, { target }) => zone.recall("batch", [pick(enginesOf(zone), target).instance]),
