--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./evidence";
 export * from "./groups";
 export * from "./lease";
+export * from "./membership";
 export * from "./outcomes";
 export * from "./routing";
 export * from "./tickets";
--- a/packages/lab/src/cluster/processCluster.ts
+++ b/packages/lab/src/cluster/processCluster.ts
@@ -4,6 +4,7 @@
 import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { basename, dirname, join } from "node:path";
+import { control } from "../httpServer";
 import { submit, untilServing } from "./clusterClient";
 import { type ClusterSpec, enginePlaces, entryNames, type EntryPorts, settingsFor, ticketFor } from "./clusterSpec";
 import { until } from "./until";
@@ -17,6 +18,8 @@
     readonly engines: readonly Member[];
     readonly services: readonly Member[];
     readonly entries: EntryMember[];
+    /** Starts a further lab program; it ends with the cluster. */
+    readonly startLab: (name: string, args: readonly string[]) => Promise<Member>;
     /** Starts an entry instance again under its old name and ports. */
     readonly restartEntry: (name: string) => Promise<void>;
     readonly stop: () => Promise<void>;
@@ -111,6 +114,12 @@
         );
         const child = run(id, "rattanquay.cjs", ["serve", "--settings", file]);
         await until(`${id} to listen`, startTimeoutMs, () => isUp(ports.operators, "/healthz"));
+        await control(platform.port, "/lab/entries", {
+            process: id,
+            availabilityZone,
+            peerAddress: `127.0.0.1:${ports.peers}`,
+            callerAddress: `127.0.0.1:${ports.callers}`,
+        });
         return { name: id, port: ports.callers, child, availabilityZone, ports };
     };
 
@@ -129,6 +138,7 @@
         engines,
         services,
         entries,
+        startLab: (name, args) => runLab(name, args, "/"),
         restartEntry: async name => {
             const index = entries.findIndex(entry => entry.name === name);
             const { availabilityZone, ports } = entries[index]!;
