Bound what tickets leave behind, and fuzz racing operators

Change: a ring of 2,000 kept tickets by revision; the same transaction that accepts one removes the one that falls out and the tombstones that only it needed, and the head names the number up to which nothing is accepted any more (verdict tooOld). The ticket of the same number is read last. A ticket touches at most 45 subjects, so that all of it fits into one transaction of 100.

Ruled out: a background job that clears (a lease more, and a second writer of the head); reading all tickets to find the oldest (a page a megabyte).

--- a/packages/core/src/config/index.ts
+++ b/packages/core/src/config/index.ts
@@ -1,5 +1,6 @@
 /** The configuration in force, folded from subject rows. */
 export {
+    applyRows,
     emptySnapshot,
     foldRows,
     instanceIsRecalled,
--- a/packages/core/src/config/snapshot.ts
+++ b/packages/core/src/config/snapshot.ts
@@ -59,6 +59,31 @@
     };
 }
 
+/**
+ * Lays an accepted ticket's rows over the snapshot of the revision before, so that the process that accepted it needs no
+ * read. Over any other snapshot it changes nothing: what lies between is unknown.
+ */
+export function applyRows(
+    known: Snapshot,
+    accepted: { readonly revision: number; readonly ticket: number; readonly rows: readonly SubjectRow[] },
+): Snapshot {
+    if (accepted.revision !== known.revision + 1) {
+        return known;
+    }
+    const before = [
+        ...[...known.services].map(([name, state]) => ({ kind: "service" as const, name, state })),
+        ...[...known.workspaces].map(([name, state]) => ({ kind: "workspace" as const, name, state })),
+        ...[...known.recalls].map(([name, state]) => ({ kind: "recall" as const, name, state })),
+    ];
+    const touched = new Set(accepted.rows.map(row => `${row.kind}/${row.name}`));
+    const kept = before.filter(({ kind, name }) => !touched.has(`${kind}/${name}`));
+    const head = {
+        revision: accepted.revision,
+        highestTicket: Math.max(known.highestTicket, accepted.ticket),
+    };
+    return foldRows(head, [...kept.map(row => ({ ...row, ticket: 0, revision: known.revision })), ...accepted.rows]);
+}
+
 /** The newer of two snapshots: what is in force never reverts, whatever order news arrives in. */
 export function newerSnapshot(known: Snapshot, heard: Snapshot): Snapshot {
     return heard.revision > known.revision ? heard : known;
--- a/packages/core/src/tickets/decideTicket.ts
+++ b/packages/core/src/tickets/decideTicket.ts
@@ -1,8 +1,15 @@
-import { subjectKeys, type SubjectRow, type Ticket, type TicketRow, type Verdict } from "@rattanquay/schema";
+import {
+    type HeadRow,
+    subjectKeys,
+    type SubjectRow,
+    type Ticket,
+    type TicketRow,
+    type Verdict,
+} from "@rattanquay/schema";
 
 /** What stands in the table when a ticket is judged. */
 export type Ground = {
-    readonly head: { readonly revision: number; readonly highestTicket: number };
+    readonly head: HeadRow;
     /** The ticket of the same number, when there is one. */
     readonly sameNumber: TicketRow | undefined;
     /** Rows of the subjects that the ticket touches, as far as they exist, by subject key. */
@@ -29,6 +36,9 @@
     if (ground.sameNumber !== undefined) {
         return { kind: "decided", verdict: repeatedVerdict(ticket, digest, ground.sameNumber) };
     }
+    if (ticket.ticket <= ground.head.evictedThrough) {
+        return { kind: "decided", verdict: tooOldVerdict(ticket, ground.head.evictedThrough) };
+    }
     const overtaking = [...ground.subjects].find(([, row]) => row.ticket >= ticket.ticket);
     if (overtaking !== undefined) {
         return { kind: "decided", verdict: overtakenVerdict(ticket, overtaking[0], overtaking[1].ticket) };
@@ -59,6 +69,12 @@
     return { kind: "numberTaken", ticket: ticket.ticket, message };
 }
 
+function tooOldVerdict(ticket: Ticket, evictedThrough: number): Verdict {
+    const message = `Tickets up to ${evictedThrough} are no longer kept here, so that nobody can tell whether `
+        + `${ticket.ticket} was accepted. Look into version control, and submit what is missing under a new number.`;
+    return { kind: "tooOld", ticket: ticket.ticket, evictedThrough, message };
+}
+
 function overtakenVerdict(ticket: Ticket, subject: string, by: number): Verdict {
     const message =
         `${subject} is already set by ticket ${by}. Review that ticket, then submit yours with a number above ${by}.`;
--- a/packages/entry/src/config/configTask.ts
+++ b/packages/entry/src/config/configTask.ts
@@ -1,10 +1,10 @@
 /** Follows the configuration's head in the platform's table, hears of it from peers, and publishes what is newer. */
-import { emptySnapshot, foldRows, newerSnapshot, type Snapshot } from "@rattanquay/core";
-import { HeadRow, SubjectRow } from "@rattanquay/schema";
+import { applyRows, emptySnapshot, newerSnapshot, type Snapshot } from "@rattanquay/core";
 import { type Feed, makeSource, startTask } from "@rattanquay/task";
 import { sleep } from "@rattanquay/timer";
-import { configPartition, headKey } from "../rowKeys";
 import { type Surroundings } from "../surroundings";
+import { type Accepted } from "../tickets";
+import { readHead, readSnapshot } from "./readConfig";
 
 type Message = { readonly kind: "poll" };
 
@@ -21,13 +21,11 @@
     readonly feed: Feed<Configuration>;
     /** Takes a snapshot from a peer at once, also while a poll waits for the table; it counts only where it is newer. */
     readonly hear: (snapshot: Snapshot) => void;
+    /** Puts a ticket in force that this process has just accepted, whether the table answers next or not. */
+    readonly applyAccepted: (accepted: Accepted) => void;
     readonly stop: () => void;
 };
 
-type Head = { readonly revision: number; readonly highestTicket: number };
-
-const emptyHead: Head = { revision: 0, highestTicket: 0 };
-
 export function startConfig(surroundings: Surroundings): Config {
     const { settings, timer, log, metrics, random } = surroundings;
     const source = makeSource<Configuration>({
@@ -62,7 +60,7 @@
     };
 
     const poll = async (): Promise<void> => {
-        const head = await readHead(surroundings);
+        const head = await readHead(surroundings.table);
         if (head === undefined) {
             metrics.platformErrors.inc({ call: "readHead" });
             wasDown = true;
@@ -73,7 +71,7 @@
             take(source.latest().snapshot, true);
             return;
         }
-        const snapshot = await readSnapshot(surroundings, head);
+        const snapshot = await readSnapshot(surroundings.table, head);
         if (snapshot !== undefined) {
             take(snapshot, true);
         }
@@ -85,27 +83,15 @@
     return {
         feed: source,
         hear: snapshot => take(snapshot, false),
+        applyAccepted: ({ revision, ticketRow, subjectRows }) => {
+            const { known, snapshot } = source.latest();
+            if (known) {
+                take(applyRows(snapshot, { revision, ticket: ticketRow.ticket, rows: subjectRows }), true);
+            }
+        },
         stop: () => {
             cancel();
             mailbox.close();
         },
     };
 }
-
-async function readHead({ table }: Surroundings): Promise<Head | undefined> {
-    const outcome = await table.read(headKey);
-    if (outcome.kind !== "done") {
-        return undefined;
-    }
-    return outcome.value === undefined ? emptyHead : HeadRow.parse(outcome.value.body);
-}
-
-/** Reads all subjects between two reads of the head; only when the head stood still is the read consistent. */
-async function readSnapshot(surroundings: Surroundings, before: Head): Promise<Snapshot | undefined> {
-    const rows = await surroundings.table.list(configPartition);
-    const after = await readHead(surroundings);
-    if (rows.kind !== "done" || after === undefined || after.revision !== before.revision) {
-        return undefined;
-    }
-    return foldRows(after, rows.value.map(row => SubjectRow.parse(row.body)));
-}
--- /dev/null
+++ b/packages/entry/src/config/readConfig.ts
@@ -0,0 +1,26 @@
+/** Reads the configuration from the platform's table. */
+import { foldRows, type Snapshot } from "@rattanquay/core";
+import { type Table } from "@rattanquay/platform";
+import { HeadRow, SubjectRow } from "@rattanquay/schema";
+import { configPartition, headKey } from "../rowKeys";
+
+const emptyHead: HeadRow = { revision: 0, highestTicket: 0, evictedThrough: 0 };
+
+/** The head as it stands, or nothing when the table does not answer. */
+export async function readHead(table: Table): Promise<HeadRow | undefined> {
+    const outcome = await table.read(headKey);
+    if (outcome.kind !== "done") {
+        return undefined;
+    }
+    return outcome.value === undefined ? emptyHead : HeadRow.parse(outcome.value.body);
+}
+
+/** Reads all subjects between two reads of the head; only when the head stood still is the read consistent. */
+export async function readSnapshot(table: Table, before: HeadRow): Promise<Snapshot | undefined> {
+    const rows = await table.list(configPartition);
+    const after = await readHead(table);
+    if (rows.kind !== "done" || after === undefined || after.revision !== before.revision) {
+        return undefined;
+    }
+    return foldRows(after, rows.value.map(row => SubjectRow.parse(row.body)));
+}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -58,6 +58,7 @@
     const operators = await startOperatorDoor({
         surroundings,
         configuration: config.feed,
+        applyAccepted: config.applyAccepted,
         fleet,
         control,
         peers: links,
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,4 +1,5 @@
 /** The entry instance: one program for all duties, to be run as a process or embedded. */
+export { readHead, readSnapshot } from "./config";
 export { type Entry, type EntryOptions, startEntry } from "./entry";
 export { hashKey } from "./keys";
-export { digestOf } from "./tickets";
+export { digestOf, submitTicket } from "./tickets";
--- a/packages/entry/src/operators/operatorDoor.ts
+++ b/packages/entry/src/operators/operatorDoor.ts
@@ -10,7 +10,7 @@
 import { openListener, portOf } from "../listener";
 import { type Peers } from "../peers";
 import { type Surroundings } from "../surroundings";
-import { listTickets, readTicket, submitTicket } from "../tickets";
+import { type Accepted, listTickets, readTicket, submitTicket } from "../tickets";
 import { statusOf } from "./status";
 import { answerTicketStatus } from "./ticketStatus";
 
@@ -19,6 +19,7 @@
 type Parts = {
     readonly surroundings: Surroundings;
     readonly configuration: Feed<Configuration>;
+    readonly applyAccepted: (acceptance: Accepted) => void;
     readonly fleet: Fleet;
     readonly control: Control;
     readonly peers: Peers;
@@ -33,6 +34,7 @@
     accepted: 200,
     numberTaken: 409,
     overtaken: 409,
+    tooOld: 409,
     unavailable: 503,
 };
 
@@ -116,7 +118,11 @@
         : handler(request, path, parts);
 }
 
-async function submit(request: IncomingMessage, unusedPath: string, { surroundings }: Parts): Promise<Answer> {
+async function submit(
+    request: IncomingMessage,
+    unusedPath: string,
+    { surroundings, applyAccepted }: Parts,
+): Promise<Answer> {
     const { settings, timer, table, log } = surroundings;
     const body = await readBody(request, settings.limits, timer);
     const json = body.kind === "read" ? parseJson(body.text) : undefined;
@@ -127,7 +133,7 @@
     if (checked.kind === "invalid") {
         return { status: 400, body: problem(renderFaults(checked.faults)) };
     }
-    const verdict = await submitTicket(table, checked.value);
+    const verdict = await submitTicket(table, checked.value, applyAccepted);
     log.info("ticketJudged", { ...verdict, kind: undefined, verdict: verdict.kind });
     return { status: statusOfVerdict[verdict.kind], body: verdict };
 }
--- /dev/null
+++ b/packages/lab/src/fakes/__tests__/ticketFuzz.test.ts
@@ -0,0 +1,203 @@
+/** Racing operators and readers against one table that loses answers, under every order of events that is drawn. */
+import { type Snapshot } from "@rattanquay/core";
+import { readHead, readSnapshot, submitTicket } from "@rattanquay/entry";
+import { type Stored, type Table, type TableOutcome } from "@rattanquay/platform";
+import {
+    configPartition,
+    headKey,
+    HeadRow,
+    SubjectRow,
+    Ticket,
+    ticketPartition,
+    TicketRow,
+    type Verdict,
+} from "@rattanquay/schema";
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { FakeTable } from "..";
+
+const runs = Number(process.env.FUZZ_RUNS ?? 150);
+const seed = Number(process.env.FUZZ_SEED ?? 5);
+const keptTickets = 4;
+const subjects = ["a", "b", "c"];
+
+/** What a call to the table meets. */
+const fate = fc.constantFrom("fine", "fine", "fine", "lost", "refused", "late");
+const submission = fc.record({
+    number: fc.integer({ min: 1, max: 9 }),
+    author: fc.constantFrom("ana", "beat"),
+    declared: fc.subarray(subjects, { minLength: 1 }),
+    removed: fc.constantFrom(undefined, ...subjects),
+});
+type Submission = { number: number; author: string; declared: readonly string[]; removed: string | undefined };
+
+function ticketOf({ number, author, declared, removed }: Submission): Ticket {
+    const workspaces = Object.fromEntries(
+        declared.filter(name => name !== removed).map(name => [name, {
+            keySha256: [String(number).padStart(64, "0")],
+            services: [author],
+        }]),
+    );
+    const remove = removed === undefined ? [] : [`workspaces/${removed}`];
+    return Ticket.parse({ ticket: number, author, workspaces, remove });
+}
+
+/** The configuration at each revision, as the oracle has it, and the highest ticket on each subject. */
+type Oracle = {
+    readonly states: Map<number, string>;
+    readonly violations: string[];
+    readonly highest: Map<string, number>;
+};
+
+const shown = (state: ReadonlyMap<string, unknown>): string =>
+    JSON.stringify([...state].sort(([a], [b]) => a < b ? -1 : 1));
+
+function follow(table: FakeTable, oracle: Oracle): void {
+    const head = table.read(headKey);
+    if (head === undefined) {
+        return;
+    }
+    const { revision } = HeadRow.parse(head.body);
+    const rows = table.list(configPartition).map(row => SubjectRow.parse(row.body));
+    const state = new Map(rows.filter(row => row.state !== undefined).map(row => [row.name, row.state]));
+    if (oracle.states.has(revision) && oracle.states.get(revision) !== shown(state)) {
+        oracle.violations.push(`revision ${revision} changed after it was accepted`);
+    }
+    if (revision < Math.max(0, ...oracle.states.keys())) {
+        oracle.violations.push(`the head went back to ${revision}`);
+    }
+    oracle.states.set(revision, shown(state));
+    for (const { name, ticket } of rows) {
+        if (ticket < (oracle.highest.get(name) ?? 0)) {
+            oracle.violations.push(`${name} went from ticket ${oracle.highest.get(name)} back to ${ticket}`);
+        }
+        oracle.highest.set(name, ticket);
+    }
+    if (table.list(ticketPartition).length > keptTickets) {
+        oracle.violations.push("more tickets are kept than may be");
+    }
+}
+
+function hamperedTable(table: FakeTable, scheduler: fc.Scheduler, fates: Iterator<string>, oracle: Oracle): Table {
+    const answer = async <T>(value: () => TableOutcome<T>, label: string): Promise<TableOutcome<T>> => {
+        await scheduler.schedule(Promise.resolve(), label);
+        const outcome = value();
+        await scheduler.schedule(Promise.resolve(), `${label} answered`);
+        return outcome;
+    };
+    return {
+        read: key => answer<Stored | undefined>(() => ({ kind: "done", value: table.read(key) }), `read ${key.key}`),
+        list: partition => answer(() => ({ kind: "done", value: table.list(partition) }), `list ${partition}`),
+        transact: async (writes, token) => {
+            const met = fates.next().value ?? "fine";
+            const apply = (): boolean => {
+                const applied = table.transact(writes, token);
+                follow(table, oracle);
+                return applied;
+            };
+            if (met === "late") {
+                void scheduler.schedule(Promise.resolve(), "late write").then(apply);
+            }
+            if (met === "late" || met === "refused") {
+                return answer(() => ({ kind: "unavailable", reason: met }), met);
+            }
+            return answer(() => {
+                const applied = apply();
+                return met === "lost"
+                    ? { kind: "unavailable", reason: met }
+                    : applied
+                    ? { kind: "done", value: undefined }
+                    : { kind: "conflict" };
+            }, "transact");
+        },
+        stop: () => undefined,
+    };
+}
+
+function plainTable(table: FakeTable): Table {
+    return {
+        read: async key => ({ kind: "done", value: table.read(key) }),
+        list: async partition => ({ kind: "done", value: table.list(partition) }),
+        transact: async (writes, token) =>
+            table.transact(writes, token) ? { kind: "done", value: undefined } : { kind: "conflict" },
+        stop: () => undefined,
+    };
+}
+
+const same = (a: Verdict, b: Verdict): boolean => JSON.stringify(a) === JSON.stringify(b);
+
+async function submitUntilJudged(table: Table, ticket: Ticket): Promise<Verdict> {
+    for (let round = 0; round < 20; round++) {
+        const verdict = await submitTicket(table, ticket, undefined, keptTickets);
+        if (verdict.kind !== "unavailable") {
+            return verdict;
+        }
+    }
+    throw new Error("never judged");
+}
+
+async function readUntil(table: Table, done: () => boolean, seen: Snapshot[]): Promise<void> {
+    while (!done()) {
+        const head = await readHead(table);
+        const snapshot = head === undefined ? undefined : await readSnapshot(table, head);
+        if (snapshot !== undefined) {
+            seen.push(snapshot);
+        }
+    }
+}
+
+function checkVerdicts(judged: readonly { ticket: Ticket; verdict: Verdict }[]): void {
+    for (const { ticket, verdict } of judged) {
+        const winners = judged.filter(other =>
+            other.ticket.ticket === ticket.ticket && other.verdict.kind === "accepted"
+        );
+        assert.ok(new Set(winners.map(other => JSON.stringify(other.ticket))).size <= 1, "two winners of one number");
+        if (verdict.kind === "numberTaken") {
+            assert.ok(winners.length > 0, "a number was taken by nobody");
+        }
+        if (verdict.kind === "overtaken") {
+            assert.ok(verdict.by > ticket.ticket, `${ticket.ticket} was overtaken by ${verdict.by}`);
+            assert.ok(judged.some(other => other.ticket.ticket === verdict.by && other.verdict.kind === "accepted"));
+        }
+    }
+}
+
+test("racing operators: one winner a number, told losers, no revert, bounded rows, whole reads", async () => {
+    await fc.assert(
+        fc.asyncProperty(
+            fc.scheduler(),
+            fc.array(submission, { minLength: 2, maxLength: 9 }),
+            fc.infiniteStream(fate),
+            async (scheduler, submissions, fates) => {
+                const fake = new FakeTable();
+                const oracle: Oracle = { states: new Map([[0, "[]"]]), violations: [], highest: new Map() };
+                const table = hamperedTable(fake, scheduler, fates, oracle);
+                const seen: Snapshot[] = [];
+                let open = submissions.length;
+                const judged = Promise.all(submissions.map(async one => {
+                    const ticket = ticketOf(one);
+                    const verdict = await submitUntilJudged(table, ticket);
+                    open--;
+                    return { ticket, verdict };
+                }));
+                const reading = readUntil(table, () => open === 0, seen);
+                await scheduler.waitFor(Promise.all([judged, reading]));
+                await scheduler.waitIdle();
+                assert.equal(oracle.violations, []);
+                checkVerdicts(await judged);
+                seen.forEach(({ revision, workspaces }) => assert.is(shown(workspaces), oracle.states.get(revision)));
+                for (const { ticket, verdict } of await judged) {
+                    const again = await submitTicket(plainTable(fake), ticket, undefined, keptTickets);
+                    assert.ok(again.kind === "tooOld" || verdict.kind !== "accepted" || same(again, verdict));
+                    assert.ok(again.kind !== "accepted" || verdict.kind === "accepted", "a refusal was taken back");
+                }
+                const kept = fake.list(ticketPartition).map(row => TicketRow.parse(row.body));
+                assert.is(new Set(kept.map(row => row.revision)).size, kept.length);
+            },
+        ),
+        { seed, numRuns: runs, endOnFailure: process.env.FUZZ_SHRINK === undefined },
+    );
+});
+
+test.run();
--- a/packages/schema/src/rows.ts
+++ b/packages/schema/src/rows.ts
@@ -3,7 +3,12 @@
 import { Recall, Service, Workspace } from "./ticket";
 
 /** The head of the configuration: its revision grows by one with each accepted ticket. */
-export const HeadRow = z.object({ revision: z.number(), highestTicket: z.number() });
+export const HeadRow = z.object({
+    revision: z.number(),
+    highestTicket: z.number(),
+    /** Tickets up to this number may have been cleared away; none of them is accepted any more. */
+    evictedThrough: z.number().default(0),
+});
 export type HeadRow = z.infer<typeof HeadRow>;
 
 /** The state of one subject, by the newest ticket that touched it; removed subjects stay as tombstones. */
@@ -44,6 +49,10 @@
 });
 export type TicketRow = z.infer<typeof TicketRow>;
 
+/** The number of the ticket that stands in a slot of the ring of kept tickets. */
+export const SlotRow = z.object({ ticket: z.number() });
+export type SlotRow = z.infer<typeof SlotRow>;
+
 /** A zone's control lease. The fencing number only grows. */
 export const LeaseRow = z.object({ holder: z.string(), fence: z.number(), renewal: z.number(), leaseMs: z.number() });
 export type LeaseRow = z.infer<typeof LeaseRow>;
--- a/packages/schema/src/ticket.ts
+++ b/packages/schema/src/ticket.ts
@@ -78,8 +78,14 @@
     remove: z.array(SubjectKey).default([]),
 });
 
+/** A ticket is accepted in one transaction, which holds no more than this many subjects with all that goes with them. */
+const maxSubjects = 45;
+
 /** A ticket as it stands in version control. */
 export const Ticket = TicketContent.refine(
+    ticket => subjectKeys(ticket).length <= maxSubjects,
+    `must touch at most ${maxSubjects} subjects; split it into several tickets`,
+).refine(
     ticket => subjectKeys(ticket).length > 0,
     "must touch at least one service, workspace or recall",
 ).refine(
@@ -112,4 +118,5 @@
         readonly subject: string;
         readonly message: string;
     }
+    | { readonly kind: "tooOld"; readonly ticket: number; readonly evictedThrough: number; readonly message: string }
     | { readonly kind: "unavailable"; readonly ticket: number; readonly message: string };
