--- a/packages/entry/src/callers/chatAttempt.ts
+++ b/packages/entry/src/callers/chatAttempt.ts
@@ -1,9 +1,10 @@
 /** One attempt at a replica: a stream is whole only with its finish reason and its end marker. */
-import { ChatChunk, type Limits } from "@rattanquay/schema";
+import { type Limits } from "@rattanquay/schema";
 import { type Timer } from "@rattanquay/timer";
 import { createParser } from "eventsource-parser";
 import { Agent, type IncomingMessage, request as httpRequest, type ServerResponse } from "node:http";
 import { type Answer } from "./chatAnswer";
+import { readChunk } from "./chunk";
 
 export type AttemptResult =
     | { readonly kind: "whole" }
@@ -88,7 +89,7 @@
                 end({ kind: finishSeen ? "whole" : "cut" });
                 return;
             }
-            const chunk = parseChunk(data);
+            const chunk = readChunk(data);
             if (chunk === undefined) {
                 end({ kind: "cut" });
                 return;
@@ -125,16 +126,6 @@
     });
 };
 
-function parseChunk(data: string): ChatChunk | undefined {
-    try {
-        const parsed = ChatChunk.safeParse(JSON.parse(data));
-        return parsed.success ? parsed.data : undefined;
-    }
-    catch {
-        return undefined;
-    }
-}
-
 function watchIdle(
     { timer, limits }: Attempt,
     onIdle: () => void,
