--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,8 +1,10 @@
 /** Decisions without input or output. Clocks, randomness and rows come in as values; decisions go out as values. */
 export * from "./config";
+export * from "./control";
 export * from "./evidence";
 export * from "./groups";
 export * from "./lease";
+export * from "./membership";
 export * from "./outcomes";
 export * from "./routing";
 export * from "./tickets";
