--- a/packages/lab/src/cluster/clusterSpec.ts
+++ b/packages/lab/src/cluster/clusterSpec.ts
@@ -22,6 +22,8 @@
     readonly concurrency: number;
     readonly engine: Partial<EngineOptions>;
     readonly listLagMs: number;
+    /** Whether engines and services note on disk what they run, so that the runs of killed ones are known. */
+    readonly journals?: boolean;
     readonly weightBytesPerSecond?: number;
     /** Settings laid over the defaults of each entry instance. */
     readonly settings: Pick<Partial<z.input<typeof Settings>>, "policy" | "limits" | "intervals" | "traces" | "log">;
--- a/packages/lab/src/cluster/processCluster.ts
+++ b/packages/lab/src/cluster/processCluster.ts
@@ -16,8 +16,12 @@
     readonly folder: string;
     readonly platform: Member;
     readonly engines: readonly Member[];
-    readonly services: readonly Member[];
+    readonly services: Member[];
     readonly entries: EntryMember[];
+    /** Starts a service again under its old name and port. */
+    readonly restartService: (name: string) => Promise<void>;
+    /** Files in which the engines and services note what they run, when the spec asks for them. */
+    readonly journals: () => readonly string[];
     /** Starts a further lab program; it ends with the cluster. */
     readonly startLab: (name: string, args: readonly string[]) => Promise<Member>;
     /** Starts an entry instance again under its old name and ports. */
@@ -74,13 +78,14 @@
         return child;
     };
 
-    const runLab = async (name: string, args: readonly string[], probe: string): Promise<Member> => {
-        const port = await freePort();
+    const runLab = async (name: string, args: readonly string[], probe: string, at?: number): Promise<Member> => {
+        const port = at ?? await freePort();
         const child = run(name, "rattanquay-lab.cjs", [...args, "--port", String(port)]);
         await until(`${name} to listen`, startTimeoutMs, () => isUp(port, probe));
         return { name, port, child };
     };
 
+    const journalOf = (name: string): string => join(folder, `${name}.jsonl`);
     const platformArgs = ["platform", "--list-lag-ms", String(spec.listLagMs)];
     const rateArgs = spec.weightBytesPerSecond === undefined
         ? []
@@ -91,14 +96,23 @@
             runLab(place.instance, [
                 "engine",
                 "--options",
-                JSON.stringify({ ...spec.engine, ...place, platformPort: platform.port }),
+                JSON.stringify({
+                    ...spec.engine,
+                    ...place,
+                    platformPort: platform.port,
+                    ...(spec.journals ? { journal: journalOf(place.instance) } : {}),
+                }),
             ], "/health")
         ),
     );
+    const runService = (name: string, at?: number): Promise<Member> => {
+        const journalArgs = spec.journals ? ["--journal", journalOf(name)] : [];
+        return runLab(name, ["service", "--name", name, ...journalArgs], "/lab/bookings", at);
+    };
     const services = await Promise.all(
         Array.from(
             { length: spec.services },
-            (unused, index) => runLab(`service-${index}`, ["service"], "/lab/bookings"),
+            (unused, index) => runService(`service-${index}`),
         ),
     );
 
@@ -139,6 +153,11 @@
         services,
         entries,
         startLab: (name, args) => runLab(name, args, "/"),
+        journals: () => [...engines, ...services].map(member => journalOf(member.name)),
+        restartService: async name => {
+            const index = services.findIndex(service => service.name === name);
+            services[index] = await runService(name, services[index]!.port);
+        },
         restartEntry: async name => {
             const index = entries.findIndex(entry => entry.name === name);
             const { availabilityZone, ports } = entries[index]!;
--- a/packages/lab/src/engine/engineStandIn.ts
+++ b/packages/lab/src/engine/engineStandIn.ts
@@ -3,6 +3,7 @@
 import { systemTimer } from "@rattanquay/timer";
 import { randomUUID } from "node:crypto";
 import { type IncomingMessage, type ServerResponse } from "node:http";
+import { appendExecution } from "../history";
 import { listen, readText, sendJson, type StandIn } from "../httpServer";
 import { Batch, type BatchOptions } from "./batch";
 import { hashPrompt, tokenAt } from "./tokens";
@@ -18,6 +19,8 @@
     readonly weightBytes?: number;
     readonly loadMs?: number;
     readonly loadReportLagMs?: number;
+    /** The file that notes each run of a request before it begins. */
+    readonly journal?: string;
 };
 
 /** One run of a request, for history checks. */
@@ -150,6 +153,12 @@
         const promptTokens = Math.ceil(JSON.stringify(call.messages).length / 4);
         const execution: Execution = { requestId, attemptId, group, from, tokens: 0, ended: false };
         executions.push(execution);
+        appendExecution(options.journal, {
+            requestId,
+            attemptId,
+            call: call.messages.at(-1)!.content,
+            upstream: options.instance,
+        });
         executions.splice(0, executions.length - keptExecutions);
         streams.set(id, response);
         response.writeHead(200, { "content-type": "text/event-stream" });
--- a/packages/lab/src/load/caller.ts
+++ b/packages/lab/src/load/caller.ts
@@ -17,12 +17,16 @@
     readonly onToken?: (index: number) => void;
 };
 
+/** How a call ended as its caller was told; `none` when the connection ended without a word. */
+export type Outcome = "answered" | "notRun" | "unknown" | "none";
+
 export type CallResult = {
     readonly status: number;
     readonly requestId: string | undefined;
     readonly text: string;
     readonly tokens: number;
     readonly whole: boolean;
+    readonly outcome: Outcome;
     /** The error's code, from the body or from an error event. */
     readonly errorCode: string | undefined;
     readonly retryAfter: string | undefined;
@@ -52,7 +56,7 @@
         let finishSeen = false;
         let errorCode: string | undefined;
         let status = 0;
-        let headers: Record<string, string | string[] | undefined> = {};
+        let headers: Headers = {};
         let raw = "";
         const finish = (): void => {
             const totalMs = systemTimer.nowMs() - startMs;
@@ -62,6 +66,7 @@
                 text: parts.join(""),
                 tokens: parts.length,
                 whole: done && finishSeen && errorCode === undefined,
+                outcome: chatOutcome(status, headers, done && finishSeen && errorCode === undefined),
                 errorCode: errorCode ?? (status === 200 ? undefined : codeOf(raw)),
                 retryAfter: headers["retry-after"] as string | undefined,
                 firstTokenMs: firstAtMs === undefined ? undefined : firstAtMs - startMs,
@@ -112,6 +117,16 @@
     });
 }
 
+function chatOutcome(status: number, headers: Headers, isWhole: boolean): Outcome {
+    if (status === 0) {
+        return "none";
+    }
+    const told = headers["x-outcome"] as Outcome | undefined;
+    return told ?? (isWhole || status !== 200 ? "answered" : "unknown");
+}
+
+type Headers = Readonly<Record<string, string | string[] | undefined>>;
+
 type StreamEvent = {
     readonly error?: { readonly code: string };
     readonly choices?: readonly {
@@ -139,10 +154,17 @@
     readonly key?: string;
 };
 
+export type ServiceResult = {
+    readonly status: number;
+    readonly outcome: Outcome;
+    readonly body: string;
+    readonly errorCode: string | undefined;
+};
+
 /** Calls a plain service; never rejects, and says `status` 0 when no answer came. */
 export async function callService(
     call: ServiceCall,
-): Promise<{ readonly status: number; readonly body: string; readonly errorCode: string | undefined }> {
+): Promise<ServiceResult> {
     try {
         const response = await fetch(`http://127.0.0.1:${call.port}${call.path}`, {
             method: call.method ?? "POST",
@@ -156,9 +178,10 @@
             ...(call.body === undefined ? {} : { body: call.body }),
         });
         const body = await response.text();
-        return { status: response.status, body, errorCode: response.ok ? undefined : codeOf(body) };
+        const outcome = (response.headers.get("x-outcome") ?? "answered") as Outcome;
+        return { status: response.status, outcome, body, errorCode: response.ok ? undefined : codeOf(body) };
     }
     catch {
-        return { status: 0, body: "", errorCode: undefined };
+        return { status: 0, outcome: "none", body: "", errorCode: undefined };
     }
 }
--- a/packages/lab/src/load/index.ts
+++ b/packages/lab/src/load/index.ts
@@ -1,3 +1,4 @@
 /** Callers: one call at a time, or an open-loop load. */
 export { callChat, type CallResult, callService, type ChatRequest } from "./caller";
 export { callFlood, type FloodCall } from "./floodCaller";
+export { makeRecorder, type Recorder } from "./recorder";
--- a/packages/lab/src/runLabCommand.ts
+++ b/packages/lab/src/runLabCommand.ts
@@ -13,7 +13,7 @@
     demo: { usage: "demo", run: demo },
     platform: { usage: "platform --port N [--list-lag-ms N] [--weight-bytes-per-second N]", run: runPlatform },
     engine: { usage: "engine --port N --options JSON", run: runEngine },
-    service: { usage: "service --port N", run: runService },
+    service: { usage: "service --port N [--name NAME] [--journal FILE]", run: runService },
     pipe: { usage: "pipe --port N --to HOST:PORT[,…]", run: runPipe },
     experiment: {
         usage: "experiment NAME [--seed N] [--workload FILE] [--policy NAME] [--seconds N] [--json]",
@@ -63,8 +63,16 @@
 }
 
 async function runService(args: readonly string[]): Promise<undefined> {
-    const { values } = parseArgs({ args: [...args], options: { port: { type: "string" } } });
-    await startService({ port: Number(values.port ?? 0) });
+    const { values } = parseArgs({
+        args: [...args],
+        options: { port: { type: "string" }, name: { type: "string" }, journal: { type: "string" } },
+    });
+    const { name, journal } = values;
+    await startService({
+        port: Number(values.port ?? 0),
+        ...(name === undefined ? {} : { name }),
+        ...(journal === undefined ? {} : { journal }),
+    });
 }
 
 async function runPipe(args: readonly string[]): Promise<undefined> {
--- a/packages/lab/src/service/serviceStandIn.ts
+++ b/packages/lab/src/service/serviceStandIn.ts
@@ -1,5 +1,7 @@
 import { headerNames } from "@rattanquay/schema";
 import { sleep, systemTimer } from "@rattanquay/timer";
+import { type ServerResponse } from "node:http";
+import { appendExecution, type Execution } from "../history";
 import { listen, readText, sendJson, type StandIn } from "../httpServer";
 
 /** One run of a call, for history checks. */
@@ -12,8 +14,10 @@
 
 export type ServiceFault = {
     readonly delayMs?: number;
-    /** Where the next calls are cut: before they run, or after they ran and before the answer. */
-    readonly cut?: "never" | "beforeRun" | "afterRun";
+    /** Where the next calls are cut. */
+    readonly cut?: "never" | "beforeRun" | "afterRun" | "duringAnswer" | "afterAnswer";
+    /** Whether the whole process ends where a call is cut, as if it were killed. */
+    readonly dies?: boolean;
 };
 
 export type ServiceStandIn = StandIn & {
@@ -21,9 +25,40 @@
     readonly setFault: (fault: ServiceFault) => void;
 };
 
-export async function startService(options: { readonly port?: number } = {}): Promise<ServiceStandIn> {
+type Options = { readonly port?: number; readonly name?: string; readonly journal?: string };
+
+export async function startService(options: Options = {}): Promise<ServiceStandIn> {
     const bookings: Booking[] = [];
     let fault: ServiceFault = {};
+
+    const run = async (booking: Booking, response: ServerResponse): Promise<void> => {
+        const { cut, delayMs = 0, dies = false } = fault;
+        const breakOff = (): void => {
+            response.destroy();
+            if (dies) {
+                process.kill(process.pid, "SIGKILL");
+            }
+        };
+        if (cut === "beforeRun") {
+            breakOff();
+            return;
+        }
+        bookings.push(booking);
+        appendExecution(options.journal, executionOf(booking, options.name ?? "service"));
+        const answer = JSON.stringify({ booked: bookings.length, call: callIn(booking.body), ...booking });
+        await sleep(systemTimer, delayMs);
+        if (cut === "afterRun") {
+            breakOff();
+            return;
+        }
+        response.writeHead(200, { "content-type": "application/json", "content-length": Buffer.byteLength(answer) });
+        if (cut === "duringAnswer") {
+            response.write(answer.slice(0, answer.length / 2), breakOff);
+            return;
+        }
+        response.end(answer, cut === "afterAnswer" ? breakOff : undefined);
+    };
+
     const { server, port } = await listen(options.port ?? 0, async (request, response, path) => {
         if (path === "/lab/bookings") {
             sendJson(response, 200, bookings);
@@ -35,18 +70,9 @@
             sendJson(response, 200, {});
             return;
         }
-        if (fault.cut === "beforeRun") {
-            response.destroy();
-            return;
-        }
         const requestId = String(request.headers[headerNames.requestId]);
-        bookings.push({ requestId, attemptId: String(request.headers[headerNames.attemptId]), path, body });
-        await sleep(systemTimer, fault.delayMs ?? 0);
-        if (fault.cut === "afterRun") {
-            response.destroy();
-            return;
-        }
-        sendJson(response, 200, { booked: bookings.length, path, requestId });
+        const attemptId = String(request.headers[headerNames.attemptId]);
+        await run({ requestId, attemptId, path, body }, response);
     });
     return {
         port,
@@ -60,3 +86,17 @@
         },
     };
 }
+
+function executionOf({ requestId, attemptId, body }: Booking, upstream: string): Execution {
+    return { requestId, attemptId, call: callIn(body), upstream };
+}
+
+/** The call that a body names; the body itself when it names none. */
+function callIn(body: string): string {
+    try {
+        return String((JSON.parse(body) as { readonly call?: unknown }).call ?? body);
+    }
+    catch {
+        return body;
+    }
+}
