--- a/packages/lab/src/link/network.ts
+++ b/packages/lab/src/link/network.ts
@@ -1,5 +1,5 @@
 /** The ways between zones and to the platform, each through a link that can be cut. */
-import { type Link, startLink } from "./cuttableLink";
+import { type HeldLink, startHeldLink } from "./heldLink";
 
 /** Names of places: a zone, the platform, or whoever calls from elsewhere. */
 export const platformPlace = "platform";
@@ -23,7 +23,7 @@
 const firstZoneAddress = 2;
 
 export function makeNetwork(zones: readonly string[]): Network {
-    const links: Link[] = [];
+    const links: HeldLink[] = [];
     const all: Passes = () => true;
     let passes = all;
     const addressOf = (zone: string): string => `127.0.0.${zones.indexOf(zone) + firstZoneAddress}`;
@@ -40,14 +40,14 @@
     return {
         addressOf,
         wayTo: (zone, targetPort) =>
-            add(startLink({
+            add(startHeldLink({
                 host: addressOf(zone),
                 targetPort,
                 passesIn: remote => placeOf(remote) === zone || passes(placeOf(remote), zone),
                 passesOut: remote => placeOf(remote) === zone || passes(zone, placeOf(remote)),
             })),
         platformWay: (zone, platformPort) =>
-            add(startLink({
+            add(startHeldLink({
                 host: "127.0.0.1",
                 targetPort: platformPort,
                 passesIn: () => passes(zone, platformPlace),
