Serve TLS on the listeners, tell faults by line, and count an answer until it has left

Cause: TLS stood in the settings but was never run, and the command line could not trust an authority. A request counted as ended when its answer was written, not when it had left, so a graceful stop could cut a slow reader's last bytes; and requests that arrived in the notice period were refused as not ready. A failed start left its tasks running. Ruled out: fetch with a custom dispatcher (needs a package of its own; node:https does it), issuing certificates at test time (node:crypto cannot), a hand-written JSON position finder (jsonc-parser is small and well kept).

--- a/packages/cli/src/commands/checkFile.ts
+++ b/packages/cli/src/commands/checkFile.ts
@@ -1,19 +1,29 @@
 /** Checking one file against a schema, for the commands that do just that. */
+import { parseArgs } from "node:util";
 import { type z } from "zod";
 import { exitCodes } from "../exitCodes";
 import { readJsonFile } from "../jsonFile";
 import { complain, print } from "../output";
 
 export async function checkFile(args: readonly string[], schema: z.ZodType, what: string): Promise<number> {
-    const [path] = args;
+    const { values, positionals: [path] } = parseArgs({
+        args: [...args],
+        options: { json: { type: "boolean", default: false } },
+        allowPositionals: true,
+    });
     if (path === undefined) {
         throw new Error("FILE is missing.");
     }
     const file = readJsonFile(path, schema);
-    if (file.kind === "invalid") {
+    const faults = file.kind === "invalid" ? file.faults : [];
+    if (values.json) {
+        print(JSON.stringify({ file: path, valid: file.kind === "valid", faults }));
+    }
+    else if (file.kind === "invalid") {
         complain(file.message);
-        return exitCodes.refused;
     }
-    print(`${path} is valid as ${what}.`);
-    return exitCodes.ok;
+    else {
+        print(`${path} is valid as ${what}.`);
+    }
+    return file.kind === "valid" ? exitCodes.ok : exitCodes.refused;
 }
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -6,6 +6,7 @@
 import { settingsCheck } from "./settingsCheck";
 import { status } from "./status";
 import { ticketCheck } from "./ticketCheck";
+import { ticketDiff } from "./ticketDiff";
 import { ticketList } from "./ticketList";
 import { ticketShow } from "./ticketShow";
 import { ticketStatus } from "./ticketStatus";
@@ -16,6 +17,7 @@
     serve,
     settingsCheck,
     ticketCheck,
+    ticketDiff,
     ticketSubmit,
     ticketStatus,
     ticketList,
--- a/packages/cli/src/commands/recall.ts
+++ b/packages/cli/src/commands/recall.ts
@@ -2,7 +2,7 @@
 import { writeFileSync } from "node:fs";
 import { parseArgs } from "node:util";
 import { exitCodes } from "../exitCodes";
-import { callOperator, operatorOptions } from "../operatorClient";
+import { callOperator, operatorOptions, operatorUsage } from "../operatorClient";
 import { complain } from "../output";
 import { type Command } from "../runCommand";
 import { report } from "./report";
@@ -22,7 +22,7 @@
 export const recall: Command = {
     words: "recall",
     usage:
-        "recall --name NAME --ticket NUMBER --author WHO (--instances A,B,… | --model M --version V) [--reason TEXT] [--write FILE] [--endpoint URL] [--json]",
+        `recall --name NAME --ticket NUMBER --author WHO (--instances A,B,… | --model M --version V) [--reason TEXT] [--write FILE] ${operatorUsage}`,
     summary:
         "Write the ticket that recalls a batch of instances or a model version, and submit it.\nWith --write the ticket is also kept in FILE, for version control.",
     run: async args => {
@@ -47,7 +47,7 @@
         if (values.write !== undefined) {
             writeFileSync(values.write, `${JSON.stringify(draft.data, undefined, 4)}\n`);
         }
-        const answer = await callOperator(values.endpoint, "/v1/tickets", draft.data);
+        const answer = await callOperator(values, "/v1/tickets", draft.data);
         return report(answer, values.json, () => `Recall ${values.name} is accepted as ticket ${values.ticket}.`);
     },
 };
--- a/packages/cli/src/commands/serve.ts
+++ b/packages/cli/src/commands/serve.ts
@@ -1,6 +1,6 @@
-import { startEntry } from "@rattanquay/entry";
+import { type Entry, startEntry } from "@rattanquay/entry";
 import { Settings } from "@rattanquay/schema";
-import { makeLog } from "@rattanquay/telemetry";
+import { type Log, makeLog } from "@rattanquay/telemetry";
 import { systemTimer } from "@rattanquay/timer";
 import { parseArgs } from "node:util";
 import { exitCodes } from "../exitCodes";
@@ -8,13 +8,13 @@
 import { complain } from "../output";
 import { type Command } from "../runCommand";
 
-const invariantBroken = 70;
-const cutShort = 1;
+const stopSignals = ["SIGTERM", "SIGINT"] as const;
 
 export const serve: Command = {
     words: "serve",
     usage: "serve --settings FILE",
-    summary: "Run an entry instance. SIGTERM stops it gracefully; a second SIGTERM stops it at once.",
+    summary:
+        "Run an entry instance. SIGTERM stops it gracefully; a second SIGTERM stops it at once.\nExit codes: 0 stopped and nothing was cut, 1 stopped and requests were cut, 2 the settings are not valid,\n3 an address or a file could not be had, 70 a broken invariant.",
     run: async args => {
         const { values } = parseArgs({ args: [...args], options: { settings: { type: "string" } } });
         if (values.settings === undefined) {
@@ -32,20 +32,38 @@
 async function runEntry(settings: Settings): Promise<number> {
     const { id, availabilityZone } = settings.process;
     const log = makeLog({ level: settings.log.level, process: id, availabilityZone });
+    const entry = await startOrExplain(settings, log);
+    if (entry === undefined) {
+        return exitCodes.unavailable;
+    }
+    await new Promise<void>(resolve => onceAnySignal(() => resolve()));
+    onceAnySignal(() => {
+        log.warn("stoppedAtOnce");
+        process.exit(exitCodes.refused);
+    });
+    const { cut } = await entry.stop();
+    return cut === 0 ? exitCodes.ok : exitCodes.refused;
+}
+
+async function startOrExplain(settings: Settings, log: Log): Promise<Entry | undefined> {
     const onBroken = (task: string, error: unknown): void => {
         log.error("invariantBroken", { task, error: (error as Error).stack ?? String(error) });
-        process.exit(invariantBroken);
+        process.exit(exitCodes.invariantBroken);
     };
-    const entry = await startEntry({ settings, timer: systemTimer, log, random: Math.random, onBroken });
-    await new Promise<void>(resolve => {
-        const onSignal = (): void => {
-            process.once("SIGTERM", () => process.exit(cutShort));
-            process.once("SIGINT", () => process.exit(cutShort));
-            resolve();
-        };
-        process.once("SIGTERM", onSignal);
-        process.once("SIGINT", onSignal);
-    });
-    await entry.stop();
-    return exitCodes.ok;
+    try {
+        return await startEntry({ settings, timer: systemTimer, log, random: Math.random, onBroken });
+    }
+    catch (error) {
+        log.error("startFailed", { error: (error as Error).message });
+        return undefined;
+    }
+}
+
+/** Calls `action` at the next signal that asks the process to stop, whichever comes. */
+function onceAnySignal(action: () => void): void {
+    const listener = (): void => {
+        stopSignals.forEach(signal => process.off(signal, listener));
+        action();
+    };
+    stopSignals.forEach(signal => process.on(signal, listener));
 }
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -1,4 +1,4 @@
-import { callOperator, parseOperatorArgs } from "../operatorClient";
+import { callOperator, operatorUsage, parseOperatorArgs } from "../operatorClient";
 import { type Command } from "../runCommand";
 import { report } from "./report";
 
@@ -23,12 +23,12 @@
 
 export const status: Command = {
     words: "status",
-    usage: "status [--endpoint URL] [--json]",
+    usage: `status ${operatorUsage}`,
     summary:
         "Show services, replicas, groups and peers as one entry instance knows them, and how old its knowledge is.",
     run: async args => {
-        const { endpoint, json } = parseOperatorArgs(args);
-        return report(await callOperator(endpoint, "/v1/status"), json, render);
+        const { connection, json } = parseOperatorArgs(args);
+        return report(await callOperator(connection, "/v1/status"), json, render);
     },
 };
 
--- /dev/null
+++ b/packages/cli/src/commands/ticketDiff.ts
@@ -0,0 +1,66 @@
+import { Ticket } from "@rattanquay/schema";
+import { differences, type KeyChange, type SubjectChange } from "../difference";
+import { exitCodes } from "../exitCodes";
+import { readJsonFile } from "../jsonFile";
+import { callOperator, operatorUsage, parseOperatorArgs } from "../operatorClient";
+import { complain, print } from "../output";
+import { type Command } from "../runCommand";
+import { report } from "./report";
+
+type InForce = {
+    readonly process: string;
+    readonly revision: number;
+    readonly highestTicket: number;
+    readonly confirmedMsAgo: number;
+    readonly subjects: Readonly<Record<string, unknown>>;
+};
+
+export const ticketDiff: Command = {
+    words: "ticket diff",
+    usage: `ticket diff FILE ${operatorUsage}`,
+    summary: "Show what a ticket would change in the configuration that one entry instance has in force.",
+    run: async args => {
+        const { connection, json, positionals: [path] } = parseOperatorArgs(args);
+        if (path === undefined) {
+            throw new Error("FILE is missing.");
+        }
+        const file = readJsonFile(path, Ticket);
+        if (file.kind === "invalid") {
+            complain(file.message);
+            return exitCodes.usage;
+        }
+        const answer = await callOperator(connection, "/v1/config");
+        if (answer.kind === "unreachable" || answer.status >= 400) {
+            return report(answer, json, () => "");
+        }
+        const inForce = answer.body as InForce;
+        const changes = differences(file.value, inForce.subjects);
+        print(
+            json
+                ? JSON.stringify({ ticket: file.value.ticket, revision: inForce.revision, changes })
+                : render(file.value.ticket, inForce, changes),
+        );
+        return exitCodes.ok;
+    },
+};
+
+const marks: Record<SubjectChange["change"], string> = { added: "+", changed: "~", removed: "-", unchanged: "=" };
+
+function render(ticket: number, inForce: InForce, changes: readonly SubjectChange[]): string {
+    const { process, revision, highestTicket, confirmedMsAgo } = inForce;
+    return [
+        `Ticket ${ticket} against revision ${revision} in force at ${process}, confirmed ${confirmedMsAgo} ms ago:`,
+        ...changes.flatMap(({ subject, change, keys }) => [
+            `${marks[change]} ${subject}  ${change}`,
+            ...(change === "changed" ? keys.map(renderKey) : []),
+        ]),
+        ...(ticket > highestTicket
+            ? []
+            : [`The highest ticket in force is ${highestTicket}: this number may be taken or too low.`]),
+    ].join("\n");
+}
+
+function renderKey({ key, inForce, declared }: KeyChange): string {
+    const show = (value: unknown): string => value === undefined ? "(absent)" : JSON.stringify(value);
+    return `    ${key}: ${show(inForce)} -> ${show(declared)}`;
+}
--- a/packages/cli/src/commands/ticketShow.ts
+++ b/packages/cli/src/commands/ticketShow.ts
@@ -1,19 +1,19 @@
 import { type TicketRow } from "@rattanquay/schema";
-import { callOperator, parseOperatorArgs } from "../operatorClient";
+import { callOperator, operatorUsage, parseOperatorArgs } from "../operatorClient";
 import { type Command } from "../runCommand";
 import { report } from "./report";
 
 export const ticketShow: Command = {
     words: "ticket show",
-    usage: "ticket show NUMBER [--endpoint URL] [--json]",
+    usage: `ticket show NUMBER ${operatorUsage}`,
     summary: "Show one accepted ticket with its content.",
     run: async args => {
-        const { endpoint, json, positionals: [number] } = parseOperatorArgs(args);
+        const { connection, json, positionals: [number] } = parseOperatorArgs(args);
         if (number === undefined || !/^\d+$/.test(number)) {
             throw new Error("NUMBER is missing or not a number.");
         }
         return report(
-            await callOperator(endpoint, `/v1/tickets/${number}`),
+            await callOperator(connection, `/v1/tickets/${number}`),
             json,
             (row: TicketRow) => JSON.stringify(row, undefined, 4),
         );
--- a/packages/cli/src/commands/ticketStatus.ts
+++ b/packages/cli/src/commands/ticketStatus.ts
@@ -1,4 +1,4 @@
-import { callOperator, parseOperatorArgs } from "../operatorClient";
+import { callOperator, operatorUsage, parseOperatorArgs } from "../operatorClient";
 import { type Command } from "../runCommand";
 import { report } from "./report";
 
@@ -12,14 +12,14 @@
 
 export const ticketStatus: Command = {
     words: "ticket status",
-    usage: "ticket status NUMBER [--endpoint URL] [--json]",
+    usage: `ticket status NUMBER ${operatorUsage}`,
     summary: "Show where a ticket is in force, where not yet, and which processes could not be asked.",
     run: async args => {
-        const { endpoint, json, positionals: [number] } = parseOperatorArgs(args);
+        const { connection, json, positionals: [number] } = parseOperatorArgs(args);
         if (number === undefined || !/^\d+$/.test(number)) {
             throw new Error("NUMBER is missing or not a number.");
         }
-        return report(await callOperator(endpoint, `/v1/tickets/${number}/status`), json, render);
+        return report(await callOperator(connection, `/v1/tickets/${number}/status`), json, render);
     },
 };
 
--- a/packages/cli/src/commands/ticketSubmit.ts
+++ b/packages/cli/src/commands/ticketSubmit.ts
@@ -1,17 +1,17 @@
 import { Ticket, type Verdict } from "@rattanquay/schema";
 import { exitCodes } from "../exitCodes";
 import { readJsonFile } from "../jsonFile";
-import { callOperator, parseOperatorArgs } from "../operatorClient";
+import { callOperator, operatorUsage, parseOperatorArgs } from "../operatorClient";
 import { complain } from "../output";
 import { type Command } from "../runCommand";
 import { report } from "./report";
 
 export const ticketSubmit: Command = {
     words: "ticket submit",
-    usage: "ticket submit FILE [--endpoint URL] [--json]",
+    usage: `ticket submit FILE ${operatorUsage}`,
     summary: "Submit a ticket. Submitting the same ticket again gives the same verdict.",
     run: async args => {
-        const { endpoint, json, positionals: [path] } = parseOperatorArgs(args);
+        const { connection, json, positionals: [path] } = parseOperatorArgs(args);
         if (path === undefined) {
             throw new Error("FILE is missing.");
         }
@@ -20,7 +20,7 @@
             complain(file.message);
             return exitCodes.usage;
         }
-        const answer = await callOperator(endpoint, "/v1/tickets", file.value);
+        const answer = await callOperator(connection, "/v1/tickets", file.value);
         return report(
             answer,
             json,
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,6 +1,4 @@
 /** The `rattanquay` program. */
 import { runCommand } from "./runCommand";
 
-void runCommand(process.argv.slice(2)).then(code => {
-    process.exitCode = code;
-});
+void runCommand(process.argv.slice(2)).then(code => process.exit(code));
--- a/packages/entry/src/callers/callerDoor.ts
+++ b/packages/entry/src/callers/callerDoor.ts
@@ -3,8 +3,9 @@
 import { headerNames } from "@rattanquay/schema";
 import { type Feed } from "@rattanquay/task";
 import { randomUUID } from "node:crypto";
-import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Configuration } from "../config";
+import { watchConnections } from "../connections";
 import { type Dispatch } from "../dispatch";
 import { bearerKey, hashKey } from "../keys";
 import { openListener, portOf } from "../listener";
@@ -16,12 +17,19 @@
 
 export type CallerDoor = {
     readonly port: number;
-    /** Refuses new connections and resolves when every running request has ended. */
+    /** Refuses new connections and resolves when every running answer has left this process. */
     readonly drain: () => Promise<void>;
     readonly inFlight: () => number;
     readonly close: () => void;
 };
 
+/** Whether the balancer should send requests here, and whether those that come all the same are served. */
+export type Readiness = {
+    readonly isReady: () => boolean;
+    /** Holds on while the process is leaving: the balancer notices that late. */
+    readonly mayServe: () => boolean;
+};
+
 /** What handlers reach besides the exchange itself. */
 export type Reach = {
     readonly surroundings: Surroundings;
@@ -40,54 +48,35 @@
     surroundings: Surroundings,
     configuration: Feed<Configuration>,
     dispatch: Dispatch,
-    isReady: () => boolean,
+    readiness: Readiness,
 ): Promise<CallerDoor> {
     const retryBudget = makeRetryBudget(surroundings.settings.limits.retryShare);
     const reach: Reach = { surroundings, dispatch, claims: makeClaims(surroundings), retryBudget };
-    let inFlight = 0;
-    let draining = false;
-    let onIdle: () => void = () => undefined;
-
     const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
         const path = (request.url ?? "/").split("?")[0]!;
-        if (answerProbe(path, response, isReady)) {
+        if (answerProbe(path, response, readiness)) {
             return;
         }
-        inFlight++;
-        if (draining) {
-            response.setHeader("connection", "close");
-        }
         const exchange = openExchange(request, response, path, surroundings, configuration);
-        const conclusion = isReady() || draining
+        const conclusion = readiness.mayServe()
             ? await route(exchange, reach)
             : refuse(exchange, "notReady", { retryAfterMs: 1_000 });
         conclude(exchange, conclusion, surroundings);
-        inFlight--;
-        if (inFlight === 0) {
-            onIdle();
-        }
     };
 
-    const server: Server = await openListener(surroundings.settings.listeners.callers, (request, response) => {
+    const server = await openListener(surroundings.settings.listeners.callers, (request, response) => {
         serve(request, response).catch(error => surroundings.onBroken("callerDoor", error));
     });
+    const connections = watchConnections(server, "callers", surroundings);
     return {
         port: portOf(server),
-        inFlight: () => inFlight,
-        drain: () => {
-            draining = true;
-            server.close();
-            server.closeIdleConnections();
-            return inFlight === 0 ? Promise.resolve() : new Promise(resolve => onIdle = resolve);
-        },
-        close: () => {
-            server.close();
-            server.closeAllConnections();
-        },
+        inFlight: connections.running,
+        drain: connections.drain,
+        close: connections.close,
     };
 }
 
-function answerProbe(path: string, response: ServerResponse, isReady: () => boolean): boolean {
+function answerProbe(path: string, response: ServerResponse, { isReady }: Readiness): boolean {
     if (path !== "/readyz" && path !== "/healthz") {
         return false;
     }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,4 +1,4 @@
 /** The entry instance: one program for all duties, to be run as a process or embedded. */
-export { type Entry, type EntryOptions, startEntry } from "./entry";
+export { type Entry, type EntryOptions, startEntry, type Stop } from "./entry";
 export { hashKey } from "./keys";
 export { digestOf } from "./tickets";
--- a/packages/entry/src/operators/operatorDoor.ts
+++ b/packages/entry/src/operators/operatorDoor.ts
@@ -4,12 +4,14 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { parseJson, readBody } from "../callers/body";
 import { type Configuration } from "../config";
+import { watchConnections } from "../connections";
 import { type Control } from "../control";
 import { type Fleet } from "../fleet";
 import { bearerKey, hashKey } from "../keys";
 import { openListener, portOf } from "../listener";
 import { type Surroundings } from "../surroundings";
 import { listTickets, readTicket, submitTicket } from "../tickets";
+import { configInForce } from "./configInForce";
 import { statusOf } from "./status";
 
 export type OperatorDoor = { readonly port: number; readonly close: () => void };
@@ -38,6 +40,10 @@
         status: 200,
         body: statusOf(surroundings, configuration.latest(), fleet.feed.latest(), { holdsLease: control.holdsLease() }),
     }),
+    "GET /v1/config": async (unusedRequest, unusedPath, { surroundings, configuration }) => ({
+        status: 200,
+        body: configInForce(surroundings, configuration.latest()),
+    }),
     "GET /v1/tickets": async (unusedRequest, unusedPath, { surroundings }) => {
         const outcome = await listTickets(surroundings.table);
         return outcome.kind === "done" ? { status: 200, body: outcome.value } : platformDown();
@@ -59,13 +65,8 @@
     const server = await openListener(parts.surroundings.settings.listeners.operators, (request, response) => {
         serve(request, response, parts).catch(error => parts.surroundings.onBroken("operatorDoor", error));
     });
-    return {
-        port: portOf(server),
-        close: () => {
-            server.close();
-            server.closeAllConnections();
-        },
-    };
+    const connections = watchConnections(server, "operators", parts.surroundings);
+    return { port: portOf(server), close: connections.close };
 }
 
 async function serve(request: IncomingMessage, response: ServerResponse, parts: Parts): Promise<void> {
--- a/packages/lab/src/cluster/index.ts
+++ b/packages/lab/src/cluster/index.ts
@@ -1,6 +1,15 @@
 /** Whole small clusters: embedded in one process, or as separate processes. */
 export { operate, servingReplicas, submit, untilServing } from "./clusterClient";
-export { callerKey, type ClusterSpec, defaultSpec, operatorKey, ticketFor, zoneNames } from "./clusterSpec";
+export {
+    callerKey,
+    type ClusterSpec,
+    defaultSpec,
+    operatorKey,
+    settingsFor,
+    ticketFor,
+    zoneNames,
+} from "./clusterSpec";
 export { type EmbeddedCluster, startEmbeddedCluster } from "./embeddedCluster";
 export { type ProcessCluster, startProcessCluster } from "./processCluster";
+export { runRattanquay } from "./program";
 export { until } from "./until";
--- a/packages/lab/src/cluster/processCluster.ts
+++ b/packages/lab/src/cluster/processCluster.ts
@@ -3,9 +3,10 @@
 import { closeSync, mkdirSync, mkdtempSync, openSync, writeFileSync } from "node:fs";
 import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
-import { basename, dirname, join } from "node:path";
+import { join } from "node:path";
 import { submit, untilServing } from "./clusterClient";
 import { type ClusterSpec, enginePlaces, entryNames, type EntryPorts, settingsFor, ticketFor } from "./clusterSpec";
+import { programsFolder } from "./programsFolder";
 import { until } from "./until";
 
 export type Member = { readonly name: string; readonly port: number; readonly child: ChildProcess };
@@ -26,12 +27,6 @@
 const serveTimeoutMs = 30_000;
 const entryEnvironment = { AWS_ACCESS_KEY_ID: "lab", AWS_SECRET_ACCESS_KEY: "lab" };
 
-/** Where the bundled programs are: beside the lab's own bundle, or in `dist`. */
-function programsFolder(): string {
-    const own = process.argv[1] ?? "";
-    return basename(own) === "rattanquay-lab.cjs" ? dirname(own) : "dist";
-}
-
 /** A port that was free a moment ago. */
 async function freePort(): Promise<number> {
     const server = createServer();
--- a/packages/schema/src/check.ts
+++ b/packages/schema/src/check.ts
@@ -1,8 +1,12 @@
 /** Checks a value against a schema and words what is wrong for the person who must mend it. */
 import { type z } from "zod";
 
-/** One fault in an input: the key's path, what was found there, and what would do. */
-export type Fault = { readonly path: string; readonly message: string };
+/** One fault in an input: the key's path, as text and in steps, what was found there, and what would do. */
+export type Fault = {
+    readonly path: string;
+    readonly steps: readonly (string | number)[];
+    readonly message: string;
+};
 
 /** The outcome of checking an input at the edge. */
 export type Check<T> =
@@ -26,14 +30,19 @@
 }
 
 function wordIssue(schema: z.ZodType, input: unknown, issue: z.core.$ZodIssue): readonly Fault[] {
-    const path = issue.path.map(String);
+    const steps = issue.path.map(step => typeof step === "number" ? step : String(step));
+    const path = steps.map(String);
     if (issue.code === "unrecognized_keys") {
         const valid = keysAt(schema, path);
-        return issue.keys.map(key => ({ path: join([...path, key]), message: unknownKeyMessage(key, valid) }));
+        return issue.keys.map(key => ({
+            path: join([...path, key]),
+            steps: [...steps, key],
+            message: unknownKeyMessage(key, valid),
+        }));
     }
     const found = valueAt(input, path);
     const shown = found === undefined ? "nothing" : JSON.stringify(found).slice(0, shownValueLength);
-    return [{ path: join(path), message: `${issue.message}; found ${shown}` }];
+    return [{ path: join(path), steps, message: `${issue.message}; found ${shown}` }];
 }
 
 function join(path: readonly string[]): string {
--- a/packages/schema/src/outcome.ts
+++ b/packages/schema/src/outcome.ts
@@ -44,6 +44,18 @@
         ending: "notRun",
         message: "There is nothing at this path.",
     },
+    malformedRequest: {
+        status: 400,
+        type: "invalid_request_error",
+        ending: "notRun",
+        message: "The request is not valid HTTP.",
+    },
+    headersTooLarge: {
+        status: 431,
+        type: "invalid_request_error",
+        ending: "notRun",
+        message: "The request's headers are too large.",
+    },
     requestTimeout: {
         status: 408,
         type: "invalid_request_error",
--- a/packages/schema/src/settings.ts
+++ b/packages/schema/src/settings.ts
@@ -24,6 +24,8 @@
     maxBodyBytes: z.number().int().positive().default(1_048_576),
     /** A caller that has not sent its whole request by then is answered 408. */
     requestReadTimeoutMs: DurationMs.default(10_000),
+    /** A caller that takes nothing of its waiting answer for this long is cut off. */
+    callerStallTimeoutMs: DurationMs.default(30_000),
     /** An upstream that has sent nothing for this long is left. */
     upstreamIdleTimeoutMs: DurationMs.default(10_000),
     connectTimeoutMs: DurationMs.default(1_000),
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -60,6 +60,12 @@
             labelNames: ["service", "state"],
             registers,
         }),
+        connectionFaults: new Counter({
+            name: "rattanquay_connection_faults_total",
+            help: "Connections at fault before or beside a request, by listener and kind.",
+            labelNames: ["listener", "kind"],
+            registers,
+        }),
         configRevision: new Gauge({
             name: "rattanquay_config_revision",
             help: "The configuration revision in force here.",
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -16,6 +16,8 @@
         platform: "node",
         target: "node20",
         format: "cjs",
+        // Its UMD entry requires its own files in a way that no bundler can follow.
+        alias: { "jsonc-parser": "./node_modules/jsonc-parser/lib/esm/main.js" },
         logLevel: "error",
         define: { "process.env.RATTANQUAY_VERSION": JSON.stringify(version) },
     });
