--- a/packages/entry/src/callers/callerDoor.ts
+++ b/packages/entry/src/callers/callerDoor.ts
@@ -36,6 +36,8 @@
     readonly dispatch: Dispatch;
     readonly claims: Claims;
     readonly retryBudget: RetryBudget;
+    /** The caller address of an entry instance in another zone where the service is served. */
+    readonly spillTarget: (service: string) => string | undefined;
 };
 
 type Handler = (exchange: Exchange, workspace: string, reach: Reach) => Promise<Conclusion>;
@@ -49,9 +51,10 @@
     configuration: Feed<Configuration>,
     dispatch: Dispatch,
     readiness: Readiness,
+    spillTarget: Reach["spillTarget"],
 ): Promise<CallerDoor> {
     const retryBudget = makeRetryBudget(surroundings.settings.limits.retryShare);
-    const reach: Reach = { surroundings, dispatch, claims: makeClaims(surroundings), retryBudget };
+    const reach: Reach = { surroundings, dispatch, claims: makeClaims(surroundings), retryBudget, spillTarget };
     const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
         const path = (request.url ?? "/").split("?")[0]!;
         if (answerProbe(path, response, readiness)) {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,12 +3,14 @@
 import { type Settings } from "@rattanquay/schema";
 import { type Log, makeMetrics, makeTracing } from "@rattanquay/telemetry";
 import { sleep, type Timer } from "@rattanquay/timer";
+import makeXxhash from "xxhash-wasm";
 import { type CallerDoor, startCallerDoor } from "./callers";
 import { startConfig } from "./config";
 import { startControl } from "./control";
 import { startDispatch } from "./dispatch";
 import { startFleet } from "./fleet";
 import { startOperatorDoor } from "./operators";
+import { type Peers, startPeers } from "./peers";
 import { type Surroundings } from "./surroundings";
 
 export type EntryOptions = {
@@ -26,6 +28,9 @@
 export type Entry = {
     readonly callerPort: number;
     readonly operatorPort: number;
+    readonly peerPort: number;
+    /** Bytes and messages over peer links since the start. */
+    readonly peerTraffic: Peers["traffic"];
     readonly isReady: () => boolean;
     /** Ends gracefully: leaves the balancer, lets running requests finish, then stops. */
     readonly stop: () => Promise<Stop>;
@@ -37,53 +42,73 @@
 /** Starts an entry instance; rejects, with nothing left running, when a listener cannot be opened. */
 export async function startEntry(options: EntryOptions): Promise<Entry> {
     const surroundings = makeSurroundings(options);
+    const { h32 } = await makeXxhash();
+    const tasks = startTasks(surroundings, text => h32(text));
+    const open: { close: () => void }[] = [{ close: tasks.stop }];
+    try {
+        return await openListeners(surroundings, tasks, open);
+    }
+    catch (error) {
+        open.reverse().forEach(part => part.close());
+        throw error;
+    }
+}
+
+type Tasks = ReturnType<typeof startTasks>;
+
+/** Starts the tasks that own the process's state; the listeners stand in front of them. */
+function startTasks(surroundings: Surroundings, hash: (text: string) => number) {
+    const configuration = startConfig(surroundings);
+    const fleet = startFleet(surroundings, hash);
+    configuration.feed.subscribe(({ snapshot }) => fleet.setSnapshot(snapshot));
+    const dispatch = startDispatch(surroundings, configuration.feed, fleet);
+    const control = startControl(surroundings, configuration.feed, fleet);
+    const stop = (): void => {
+        control.stop();
+        dispatch.stop();
+        fleet.stop();
+        configuration.stop();
+        surroundings.table.stop();
+    };
+    return { configuration, fleet, dispatch, control, hash, stop };
+}
+
+/** Opens the three listeners and notes each in `open`, so that a failure at a later one can close it again. */
+async function openListeners(
+    surroundings: Surroundings,
+    { configuration, fleet, dispatch, control, hash, stop: stopTasks }: Tasks,
+    open: { close: () => void }[],
+): Promise<Entry> {
     const { log } = surroundings;
-    const tasks = startTasks(surroundings);
-    const { configuration, fleet, dispatch, control } = tasks;
     let leaving = false;
-    const mayServe = (): boolean => configuration.latest().known && fleet.feed.latest().headVersion !== undefined;
+    let peers: Peers | undefined = undefined;
+    const mayServe = (): boolean => peers?.feed.latest().caughtUp === true;
     const isReady = (): boolean => !leaving && mayServe();
-    const endOnFailure = (error: unknown): never => {
-        tasks.stop();
-        throw error;
-    };
+    const spillTarget = (service: string): string | undefined => peers?.spillTarget(service);
     const readiness = { isReady, mayServe };
-    const callers = await startCallerDoor(surroundings, configuration, dispatch, readiness).catch(endOnFailure);
-    const operators = await startOperatorDoor({ surroundings, configuration, fleet, control, isReady })
-        .catch((error: unknown) => {
-            callers.close();
-            return endOnFailure(error);
-        });
-    log.info("started", { callerPort: callers.port, operatorPort: operators.port });
+    const callers = await startCallerDoor(surroundings, configuration.feed, dispatch, readiness, spillTarget);
+    open.push(callers);
+    const { port: callerPort } = callers;
+    const links = await startPeers({ surroundings, configuration, fleet, hash, callerPort, isReady });
+    open.push({ close: links.stop });
+    peers = links;
+    const parts = { surroundings, configuration: configuration.feed, fleet, control, peers: links, isReady };
+    const operators = await startOperatorDoor(parts);
+    log.info("started", { callerPort, operatorPort: operators.port, peerPort: links.port });
     const stop = async (): Promise<Stop> => {
         leaving = true;
         control.stop();
         log.info("leaving", { inFlight: callers.inFlight() });
         const cut = await leave(callers, surroundings);
         operators.close();
-        tasks.stop();
+        links.stop();
+        stopTasks();
         await surroundings.tracing.stop();
         log.info("stopped", { cut });
         return { cut };
     };
-    return { callerPort: callers.port, operatorPort: operators.port, isReady, stop };
-}
-
-/** Starts the tasks that own the process's state; the listeners stand in front of them. */
-function startTasks(surroundings: Surroundings) {
-    const config = startConfig(surroundings);
-    const fleet = startFleet(surroundings);
-    config.feed.subscribe(({ snapshot }) => fleet.setSnapshot(snapshot));
-    const dispatch = startDispatch(surroundings, config.feed, fleet);
-    const control = startControl(surroundings, config.feed, fleet);
-    const stop = (): void => {
-        control.stop();
-        dispatch.stop();
-        fleet.stop();
-        config.stop();
-        surroundings.table.stop();
-    };
-    return { configuration: config.feed, fleet, dispatch, control, stop };
+    const { port: peerPort, traffic: peerTraffic } = links;
+    return { callerPort, operatorPort: operators.port, peerPort, peerTraffic, isReady, stop };
 }
 
 /** Waits until the balancer has noticed, then for running answers; resolves to the number that were cut. */
