--- a/packages/lab/src/cluster/processCluster.ts
+++ b/packages/lab/src/cluster/processCluster.ts
@@ -3,7 +3,7 @@
 import { closeSync, mkdirSync, mkdtempSync, openSync, writeFileSync } from "node:fs";
 import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
-import { basename, dirname, join } from "node:path";
+import { join } from "node:path";
 import { control } from "../httpServer";
 import { makeNetwork, type Network } from "../link";
 import { submit, untilServing } from "./clusterClient";
@@ -17,6 +17,7 @@
     ticketFor,
     zoneNames,
 } from "./clusterSpec";
+import { programsFolder } from "./programsFolder";
 import { until } from "./until";
 
 export type Member = { readonly name: string; readonly port: number; readonly child: ChildProcess };
@@ -46,12 +47,6 @@
 const serveTimeoutMs = 30_000;
 const entryEnvironment = { AWS_ACCESS_KEY_ID: "lab", AWS_SECRET_ACCESS_KEY: "lab" };
 
-/** Where the bundled programs are: beside the lab's own bundle, or in `dist`. */
-function programsFolder(): string {
-    const own = process.argv[1] ?? "";
-    return basename(own) === "rattanquay-lab.cjs" ? dirname(own) : "dist";
-}
-
 /** A port that was free a moment ago. */
 async function freePort(): Promise<number> {
     const server = createServer();
--- a/packages/lab/src/link/network.ts
+++ b/packages/lab/src/link/network.ts
@@ -33,7 +33,7 @@
         passes = next;
         links.forEach(link => link.refresh());
     };
-    const add = async (link: Promise<Link>): Promise<number> => {
+    const add = async (link: Promise<HeldLink>): Promise<number> => {
         links.push(await link);
         return (await link).port;
     };
