--- a/packages/lab/src/cluster/processCluster.ts
+++ b/packages/lab/src/cluster/processCluster.ts
@@ -3,7 +3,7 @@
 import { closeSync, mkdirSync, mkdtempSync, openSync, writeFileSync } from "node:fs";
 import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
-import { basename, dirname, join } from "node:path";
+import { join } from "node:path";
 import { control } from "../httpServer";
 import { makeNetwork, type Network } from "../link";
 import { submit, untilServing } from "./clusterClient";
@@ -17,6 +17,7 @@
     ticketFor,
     zoneNames,
 } from "./clusterSpec";
+import { programsFolder } from "./programsFolder";
 import { until } from "./until";
 
 export type Member = { readonly name: string; readonly port: number; readonly child: ChildProcess };
@@ -26,8 +27,12 @@
     readonly folder: string;
     readonly platform: Member;
     readonly engines: readonly Member[];
-    readonly services: readonly Member[];
+    readonly services: Member[];
     readonly entries: EntryMember[];
+    /** Starts a service again under its old name and port. */
+    readonly restartService: (name: string) => Promise<void>;
+    /** Files in which the engines and services note what they run, when the spec asks for them. */
+    readonly journals: () => readonly string[];
     /** Starts a further lab program; it ends with the cluster. */
     readonly startLab: (name: string, args: readonly string[]) => Promise<Member>;
     /** Starts an entry instance again under its old name and ports. */
@@ -42,12 +47,6 @@
 const serveTimeoutMs = 30_000;
 const entryEnvironment = { AWS_ACCESS_KEY_ID: "lab", AWS_SECRET_ACCESS_KEY: "lab" };
 
-/** Where the bundled programs are: beside the lab's own bundle, or in `dist`. */
-function programsFolder(): string {
-    const own = process.argv[1] ?? "";
-    return basename(own) === "rattanquay-lab.cjs" ? dirname(own) : "dist";
-}
-
 /** A port that was free a moment ago. */
 async function freePort(): Promise<number> {
     const server = createServer();
@@ -87,13 +86,14 @@
         return child;
     };
 
-    const runLab = async (name: string, args: readonly string[], probe: string): Promise<Member> => {
-        const port = await freePort();
+    const runLab = async (name: string, args: readonly string[], probe: string, at?: number): Promise<Member> => {
+        const port = at ?? await freePort();
         const child = run(name, "rattanquay-lab.cjs", [...args, "--port", String(port)]);
         await until(`${name} to listen`, startTimeoutMs, () => isUp(port, probe));
         return { name, port, child };
     };
 
+    const journalOf = (name: string): string => join(folder, `${name}.jsonl`);
     const platformArgs = ["platform", "--list-lag-ms", String(spec.listLagMs)];
     const rateArgs = spec.weightBytesPerSecond === undefined
         ? []
@@ -104,14 +104,23 @@
             runLab(place.instance, [
                 "engine",
                 "--options",
-                JSON.stringify({ ...spec.engine, ...place, platformPort: platform.port }),
+                JSON.stringify({
+                    ...spec.engine,
+                    ...place,
+                    platformPort: platform.port,
+                    ...(spec.journals ? { journal: journalOf(place.instance) } : {}),
+                }),
             ], "/health")
         ),
     );
+    const runService = (name: string, at?: number): Promise<Member> => {
+        const journalArgs = spec.journals ? ["--journal", journalOf(name)] : [];
+        return runLab(name, ["service", "--name", name, ...journalArgs], "/lab/bookings", at);
+    };
     const services = await Promise.all(
         Array.from(
             { length: spec.services },
-            (unused, index) => runLab(`service-${index}`, ["service"], "/lab/bookings"),
+            (unused, index) => runService(`service-${index}`),
         ),
     );
 
@@ -170,6 +179,11 @@
         entries,
         network,
         startLab: (name, args) => runLab(name, args, "/"),
+        journals: () => [...engines, ...services].map(member => journalOf(member.name)),
+        restartService: async name => {
+            const index = services.findIndex(service => service.name === name);
+            services[index] = await runService(name, services[index]!.port);
+        },
         restartEntry: async name => {
             const index = entries.findIndex(entry => entry.name === name);
             const { availabilityZone, ports } = entries[index]!;
--- a/packages/lab/src/link/cuttableLink.ts
+++ b/packages/lab/src/link/heldLink.ts
@@ -1,7 +1,7 @@
 /** A TCP way that can be held in each direction. Held bytes are kept and come late, as over a network that heals. */
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 
-export type Link = {
+export type HeldLink = {
     readonly port: number;
     /** Looks again at which directions are open. */
     readonly refresh: () => void;
@@ -18,7 +18,7 @@
 
 type Pair = { readonly near: Socket; readonly far: Socket; readonly remoteAddress: string };
 
-export function startLink({ host, targetPort, passesIn, passesOut }: Options): Promise<Link> {
+export function startHeldLink({ host, targetPort, passesIn, passesOut }: Options): Promise<HeldLink> {
     const pairs = new Set<Pair>();
     const refreshPair = ({ near, far, remoteAddress }: Pair): void => {
         void (passesIn(remoteAddress) ? near.resume() : near.pause());
