--- a/packages/lab/src/__tests__/cut.test.ts
+++ b/packages/lab/src/__tests__/cut.test.ts
@@ -51,6 +51,23 @@
     return Promise.all(calls);
 }
 
+/** The engine that takes the requests of one of the zone's groups. */
+async function leaderOf(zone: string) {
+    type Groups = { readonly groups: readonly { readonly members: readonly { readonly instance: string }[] }[] };
+    const { groups } = await operate(entriesOf(zone)[0]!.ports.operators, "/v1/status") as Groups;
+    return cluster.engines.find(engine => engine.name === groups[0]!.members[0]!.instance)!;
+}
+
+/** Attempts at upstreams, by any entry instance of the zone, that did not end with a whole answer. */
+async function failedAttempts(zone: string): Promise<number> {
+    const pages = await Promise.all(
+        entriesOf(zone).map(async ({ ports }) => (await fetch(`http://127.0.0.1:${ports.operators}/metrics`)).text()),
+    );
+    const lines = pages.flatMap(page => page.split("\n").filter(line => line.startsWith("rattanquay_attempts_total{")));
+    return lines.filter(line => !line.includes('result="whole"'))
+        .reduce((sum, line) => sum + Number(line.split(" ").at(-1)), 0);
+}
+
 async function untilLinked(): Promise<void> {
     await until("all of each zone to be linked", waitMs, async () => {
         const all = await Promise.all(cluster.entries.map(entry => statusOf(entry.ports.operators)));
@@ -133,6 +150,19 @@
     assert.is((await submitTo(entriesOf("zone-a")[0]!.ports.operators, 3)).kind, "accepted");
 });
 
+test("a frozen upstream gets no new work after 3 s, also in a zone that is cut from everything", async () => {
+    const leader = await leaderOf("zone-a");
+    cluster.network!.setPasses(zoneAlone);
+    leader.child.kill("SIGSTOP");
+    await sleep(systemTimer, 3_000);
+    const failedBefore = await failedAttempts("zone-a");
+    const results = await callFor(1_500, () => entriesOf("zone-a").map(entry => entry.port));
+    assert.equal(wrong(results), []);
+    assert.is(await failedAttempts("zone-a"), failedBefore);
+    leader.child.kill("SIGCONT");
+    cluster.network!.heal();
+});
+
 test("a zone that has lost all its instances passes its work on, once", async () => {
     const gone = cluster.engines.filter(engine => engine.name.startsWith("zone-a"));
     gone.forEach(({ child }) => child.kill("SIGKILL"));
--- a/packages/lab/src/experiments/index.ts
+++ b/packages/lab/src/experiments/index.ts
@@ -1,9 +1,10 @@
 /** Experiments by name. */
+import { cut } from "./cut";
 import { complainUsage, type Experiment } from "./experiment";
 import { overhead } from "./overhead";
 import { slopes } from "./slopes";
 
-const experiments: Readonly<Record<string, Experiment>> = { overhead, slopes };
+const experiments: Readonly<Record<string, Experiment>> = { cut, overhead, slopes };
 
 /** Runs the experiment that the first argument names and prints its result as the last line. */
 export async function runExperiment(args: readonly string[]): Promise<number> {
