--- a/packages/entry/src/dispatch/dispatchTask.ts
+++ b/packages/entry/src/dispatch/dispatchTask.ts
@@ -86,7 +86,11 @@
         },
     });
     fleet.feed.subscribe(zone => mailbox.send({ kind: "zone", zone }));
-    const cancel = timer.every(expireIntervalMs, () => mailbox.send({ kind: "expire" }));
+    const cancel = timer.every(expireIntervalMs, () => {
+        if (waiting.size > 0) {
+            mailbox.send({ kind: "expire" });
+        }
+    });
     return {
         admit: job => ask<Message, Grant>(mailbox, reply => ({ kind: "admit", job, reply })),
         release: id => mailbox.send({ kind: "release", id }),
--- a/packages/entry/src/peers/peersTask.ts
+++ b/packages/entry/src/peers/peersTask.ts
@@ -50,7 +50,7 @@
 
 const lowestVersion = 1;
 const highestVersion = 1;
-const dialIntervalMs = 100;
+const dialIntervalMs = 250;
 
 export async function startPeers(options: Options): Promise<Peers> {
     const { surroundings, configuration, fleet, callerPort } = options;
