Keep every serving replica that a change can keep, and hold policies against baselines

Cause: a change of version with instances to spare went from 3 serving replicas to 2, and one that also scaled down went below the declared number: the plan took the pause between a drain and the next formation for a lack of free instances.

Change: surgeFirst waits while groups drain, load or form, and while unowned instances suffice for a group but are not yet proved idle. Tables of cases for each policy; changes of version, adapter, shape and count, and a version that never gets ready, in the fake zone.

Ruled out: counting draining groups as serving (they get no new work).

--- a/packages/core/src/groups/index.ts
+++ b/packages/core/src/groups/index.ts
@@ -5,4 +5,4 @@
 export { type Rollout, rollouts } from "./rollouts";
 export { type SpareChoice, spareChoices } from "./spares";
 export { type BreakUp, breakUps } from "./weakGroups";
-export { type Action, type Candidate, isServing, isWeak, weightsOf, type ZoneView } from "./zoneView";
+export { type Action, type Candidate, isCurrent, isServing, isWeak, weightsOf, type ZoneView } from "./zoneView";
--- a/packages/core/src/groups/planZone.ts
+++ b/packages/core/src/groups/planZone.ts
@@ -44,13 +44,24 @@
     breakUps(view, policies.breakUp, free, formations).forEach(add);
     forcedDrains(view).forEach(add);
     servicesOfKind(view.snapshot, "model").forEach(([service, declared]) => {
-        const forming = formations.some(formation => formation.service === service);
+        const forming = formations.some(formation => formation.service === service)
+            || mayFormSoon(view, service, declared);
         surplus(view, service, declared).forEach(add);
         outdated(view, { service, declared, forming }, policies.rollout).forEach(add);
     });
     return [...removals.values(), ...formations];
 }
 
+/** Whether instances stand by for another group, though some of them are not yet proved to be done with their last. */
+function mayFormSoon(view: ZoneView, service: string, declared: ModelService): boolean {
+    const unowned = freeByDomain(view, instance => instanceIsRecalled(view.snapshot, instance), "unproved");
+    const need = needsOf(view).find(found => found.service === service);
+    const count = [...unowned.values()].reduce((sum, members) => sum + members.length, 0);
+    return need !== undefined && need.missing > 0
+        && count - declared.groupSize >= declared.spares
+        && [...unowned.values()].some(members => members.length >= declared.groupSize);
+}
+
 /** Groups that cannot come right, and draining ones that have nothing left to do. */
 function dissolutions(view: ZoneView): readonly Removal[] {
     const listed = new Set(view.instances.map(instance => instance.instance));
@@ -137,6 +148,7 @@
         loading: active.filter(group =>
             isCurrent(group, declared) && !isServing(view, group) && !isWeak(view, group)
         ).length,
+        draining: view.groups.filter(group => group.service === service && group.state === "draining").length,
         forming,
     });
     const going = old.filter(group => isServing(view, group)).slice(0, count);
--- a/packages/core/src/groups/rollouts.ts
+++ b/packages/core/src/groups/rollouts.ts
@@ -8,6 +8,8 @@
     readonly serving: number;
     /** Groups of the new kind that do not serve yet. */
     readonly loading: number;
+    /** Groups on their way out, whose instances come free. */
+    readonly draining: number;
     /** Whether free instances are about to become groups of the new kind. */
     readonly forming: boolean;
 };
@@ -22,11 +24,11 @@
      * Old groups go once new ones serve in their place. Without free instances a tenth goes at a time, never below the
      * floor; new groups that do not come up hold the change where it is.
      */
-    surgeFirst: ({ wanted, floor, serving, loading, forming }) => {
+    surgeFirst: ({ wanted, floor, serving, loading, draining, forming }) => {
         if (serving > wanted) {
             return serving - wanted;
         }
-        if (loading > 0 || forming) {
+        if (loading > 0 || draining > 0 || forming) {
             return 0;
         }
         const missing = wanted - serving;
--- a/packages/core/src/groups/zoneView.ts
+++ b/packages/core/src/groups/zoneView.ts
@@ -75,10 +75,14 @@
 export const weightsOf = (assignment: { readonly model: string; readonly version: string }): string =>
     `${assignment.model}@${assignment.version}`;
 
-/** Free instances by fabric domain: live, unowned, not recalled, answering, and done with any earlier group. */
+/**
+ * Free instances by fabric domain: live, unowned, not recalled, answering, and proved to be done with any earlier group
+ * unless `proof` is not asked for.
+ */
 export function freeByDomain(
     view: ZoneView,
     isRecalled: (instance: string) => boolean,
+    proof: "proved" | "unproved" = "proved",
 ): ReadonlyMap<string, readonly Candidate[]> {
     const owned = new Set(view.groups.flatMap(group => group.members.map(member => member.instance)));
     const domains = new Map<string, Candidate[]>();
@@ -89,7 +93,8 @@
             && !owned.has(instance.instance)
             && !isRecalled(instance.instance)
             && isFresh(view, instance.instance)
-            && (info?.group === undefined || info.status === "failed" || view.settledInstances.has(instance.instance));
+            && (proof === "unproved" || info?.group === undefined || info.status === "failed"
+                || view.settledInstances.has(instance.instance));
         if (info !== undefined && isFree) {
             const { address, fabricDomain } = instance;
             const { bootId, cachedWeights } = info;
--- /dev/null
+++ b/packages/lab/src/fakes/__tests__/change.test.ts
@@ -0,0 +1,76 @@
+/** Changes of version, adapter and shape keep the floor of serving replicas all the way. */
+import { isCurrent, rollouts } from "@rattanquay/core";
+import { type ModelService } from "@rattanquay/schema";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { fakeService, FakeZone, fakeZoneName, neverReadyVersion } from "..";
+
+const spec = {
+    seed: 3,
+    controllers: 3,
+    domains: 2,
+    instancesPerDomain: 8,
+    groupSize: 4,
+    loadMs: 800,
+    weightsMs: 50,
+    fencingShare: 0.5,
+    listLagMs: 1_000,
+};
+
+const cases = [
+    { name: "a version, with instances to spare", replicas: 3, change: { version: "v2" }, floor: 3, changed: 3 },
+    { name: "a version, with none to spare", replicas: 4, change: { version: "v2" }, floor: 3, changed: 4 },
+    { name: "an adapter, with none to spare", replicas: 4, change: { adapter: "night" }, floor: 3, changed: 4 },
+    { name: "smaller groups, with none to spare", replicas: 4, change: { groupSize: 2 }, floor: 3, changed: 4 },
+    { name: "fewer replicas and a version", replicas: 4, change: { version: "v2", replicas: 2 }, floor: 2, changed: 2 },
+    {
+        name: "a version never ready, to spare",
+        replicas: 3,
+        change: { version: neverReadyVersion },
+        floor: 3,
+        changed: 0,
+    },
+    {
+        name: "a version never ready, none to spare",
+        replicas: 4,
+        change: { version: neverReadyVersion },
+        floor: 3,
+        changed: 0,
+    },
+];
+
+const change = (
+    { replicas, ...rest }: (typeof cases)[number]["change"] & { replicas?: number },
+): Partial<ModelService> => replicas === undefined ? rest : { ...rest, replicas: { [fakeZoneName]: replicas } };
+
+for (const { name, replicas, change: declared, floor, changed } of cases) {
+    test(`the floor holds through ${name}`, () => {
+        const zone = new FakeZone({ ...spec, replicas });
+        zone.timer.advance(8_000);
+        assert.is(zone.trulyServing().length, replicas);
+        zone.declare(change(declared));
+        let least = replicas;
+        for (let step = 0; step < 800; step++) {
+            zone.timer.advance(100);
+            least = Math.min(least, zone.trulyServing().length);
+        }
+        const service = zone.snapshot.services.get(fakeService) as ModelService;
+        assert.equal(zone.violations, []);
+        assert.ok(least >= floor, `${least} served, the floor is ${floor}`);
+        assert.is(zone.trulyServing().filter(group => isCurrent(group, service)).length, changed);
+    });
+}
+
+test("the baseline goes down to the floor that was declared, and not below", () => {
+    const zone = new FakeZone({ ...spec, replicas: 4, policies: { rollout: rollouts.toFloor } });
+    zone.timer.advance(8_000);
+    zone.declare({ version: "v2" });
+    let least = 4;
+    for (let step = 0; step < 400; step++) {
+        zone.timer.advance(100);
+        least = Math.min(least, zone.trulyServing().length);
+    }
+    assert.is(least, 2);
+});
+
+test.run();
--- a/packages/lab/src/fakes/fakeEngine.ts
+++ b/packages/lab/src/fakes/fakeEngine.ts
@@ -12,6 +12,9 @@
     readonly timer: Timer;
 };
 
+/** A version that no engine gets ready. */
+export const neverReadyVersion = "never-ready";
+
 type LoadOrder = Extract<Order, { readonly kind: "load" }>;
 type Assignment = LoadOrder & { status: ServerInfo["status"] };
 
@@ -112,6 +115,9 @@
     private load(order: LoadOrder): void {
         const mine: Assignment = { ...order, status: "loading" };
         this.assign(mine);
+        if (order.version === neverReadyVersion) {
+            return;
+        }
         const { timer, loadMs, fetchWeights } = this.options;
         const weights = `${order.model}@${order.version}`;
         const fetchedAtMs = this.cached.has(weights) ? timer.nowMs() : fetchWeights();
