--- a/packages/entry/src/operators/operatorDoor.ts
+++ b/packages/entry/src/operators/operatorDoor.ts
@@ -4,6 +4,7 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { parseJson, readBody } from "../callers/body";
 import { type Configuration } from "../config";
+import { watchConnections } from "../connections";
 import { type Control } from "../control";
 import { type Fleet } from "../fleet";
 import { bearerKey, hashKey } from "../keys";
@@ -11,6 +12,7 @@
 import { type Peers } from "../peers";
 import { type Surroundings } from "../surroundings";
 import { type Accepted, listTickets, readTicket, submitTicket } from "../tickets";
+import { configInForce } from "./configInForce";
 import { statusOf } from "./status";
 import { answerTicketStatus } from "./ticketStatus";
 
@@ -45,6 +47,10 @@
             holdsLease: control.holdsLease(),
         }),
     }),
+    "GET /v1/config": async (unusedRequest, unusedPath, { surroundings, configuration }) => ({
+        status: 200,
+        body: configInForce(surroundings, configuration.latest()),
+    }),
     "GET /v1/tickets/N/status": async (unusedRequest, path, { surroundings, peers }) =>
         answerTicketStatus(surroundings.table, peers, Number(path.split("/")[3])),
     "GET /v1/tickets": async (unusedRequest, unusedPath, { surroundings }) => {
@@ -68,13 +74,8 @@
     const server = await openListener(parts.surroundings.settings.listeners.operators, (request, response) => {
         serve(request, response, parts).catch(error => parts.surroundings.onBroken("operatorDoor", error));
     });
-    return {
-        port: portOf(server),
-        close: () => {
-            server.close();
-            server.closeAllConnections();
-        },
-    };
+    const connections = watchConnections(server, "operators", parts.surroundings);
+    return { port: portOf(server), close: connections.close };
 }
 
 async function serve(request: IncomingMessage, response: ServerResponse, parts: Parts): Promise<void> {
@@ -125,7 +126,7 @@
 ): Promise<Answer> {
     const { settings, timer, table, log } = surroundings;
     const body = await readBody(request, settings.limits, timer);
-    const json = body.kind === "read" ? parseJson(body.text) : undefined;
+    const json = body.kind === "read" ? parseJson(body.bytes.toString("utf8")) : undefined;
     if (json === undefined) {
         return { status: 400, body: problem("The ticket is not valid JSON.") };
     }
--- /dev/null
+++ b/packages/lab/src/__tests__/gracefulStop.test.ts
@@ -0,0 +1,92 @@
+/** SIGTERM to an entry instance under running streams, through separate processes. */
+import { sleep, systemTimer } from "@rattanquay/timer";
+import { type ChildProcess } from "node:child_process";
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { defaultSpec, type ProcessCluster, startProcessCluster, until } from "../cluster";
+import { expectedText } from "../engine";
+import { callChat, type CallResult } from "../load";
+
+const streams = 20;
+const tokens = 150;
+const noticeMs = 800;
+const messages = [{ role: "user", content: "Summarise the span log of line 8." }];
+
+let cluster: ProcessCluster;
+
+test.before(async () => {
+    cluster = await startProcessCluster({
+        ...defaultSpec,
+        zones: 1,
+        entriesPerZone: 3,
+        concurrency: 32,
+        engine: { maxRunning: 32 },
+        settings: { limits: { shutdownNoticeMs: noticeMs, shutdownGraceMs: 20_000 } },
+    });
+});
+
+test.after(() => cluster.stop());
+
+/** Starts the streams and resolves when each has its first token. */
+const startStreams = async (port: number): Promise<readonly Promise<CallResult>[]> => {
+    let begun = 0;
+    const onToken = (index: number): void => {
+        begun += index === 1 ? 1 : 0;
+    };
+    const calls = Array.from({ length: streams }, () => callChat({ port, messages, maxTokens: tokens, onToken }));
+    await until("all streams to have begun", 10_000, () => begun === streams);
+    return calls;
+};
+
+const exitOf = (child: ChildProcess): Promise<number | null> => new Promise(resolve => child.once("exit", resolve));
+
+const eventsOf = (name: string): readonly Record<string, unknown>[] =>
+    readFileSync(join(cluster.folder, "logs", `${name}.log`), "utf8").trim().split("\n").map(line => JSON.parse(line));
+
+test("SIGTERM cuts no stream, turns readiness off first and serves whoever comes meanwhile", async () => {
+    const { name, port, ports, child } = cluster.entries[0]!;
+    const calls = await startStreams(port);
+    const exit = exitOf(child);
+    child.kill("SIGTERM");
+    const readyStatus = async (): Promise<number> => (await fetch(`http://127.0.0.1:${port}/readyz`)).status;
+    await until("readiness to turn off", noticeMs, async () => await readyStatus() === 503);
+    assert.is((await fetch(`http://127.0.0.1:${ports.operators}/readyz`)).status, 503);
+    const late = await callChat({ port, messages, maxTokens: 5 });
+    assert.ok(late.whole, `a call in the notice period got ${late.status} ${late.errorCode}`);
+    const results = await Promise.all(calls);
+    assert.is(results.filter(({ whole, text }) => whole && text === expectedText(messages, tokens)).length, streams);
+    assert.is(await exit, 0);
+    assert.is(eventsOf(name).find(({ message }) => message === "stopped")?.cut, 0);
+});
+
+test("a second SIGTERM stops at once, and no cut stream looks whole", async () => {
+    const { name, port, child } = cluster.entries[1]!;
+    const calls = await startStreams(port);
+    const exit = exitOf(child);
+    child.kill("SIGTERM");
+    await until(
+        "the first signal to be heard",
+        2_000,
+        () => eventsOf(name).some(({ message }) => message === "leaving"),
+    );
+    child.kill("SIGTERM");
+    assert.is(await exit, 1);
+    const results = await Promise.all(calls);
+    assert.is(results.filter(result => result.whole).length, 0);
+    assert.ok(eventsOf(name).some(({ message }) => message === "stoppedAtOnce"));
+});
+
+test("each event is one JSON line with its process and zone, and a request's with its ids", async () => {
+    const { name, port } = cluster.entries[2]!;
+    await callChat({ port, messages, maxTokens: 3, requestId: "heater-17" });
+    await sleep(systemTimer, 100);
+    const events = eventsOf(name);
+    assert.ok(events.every(event => event.process === name && event.availabilityZone === "zone-a"));
+    const ended = events.find(({ requestId }) => requestId === "heater-17");
+    assert.is(ended?.message, "requestEnded");
+    assert.match(String(ended?.traceId), /^[0-9a-f]{32}$/);
+});
+
+test.run();
--- a/packages/schema/src/outcome.ts
+++ b/packages/schema/src/outcome.ts
@@ -44,6 +44,18 @@
         ending: "notRun",
         message: "There is nothing at this path.",
     },
+    malformedRequest: {
+        status: 400,
+        type: "invalid_request_error",
+        ending: "notRun",
+        message: "The request is not valid HTTP.",
+    },
+    headersTooLarge: {
+        status: 431,
+        type: "invalid_request_error",
+        ending: "notRun",
+        message: "The request's headers are too large.",
+    },
     requestTimeout: {
         status: 408,
         type: "invalid_request_error",
@@ -62,6 +74,12 @@
         ending: "unknown",
         message: "An earlier call with this Idempotency-Key may have run. It will not be run again.",
     },
+    answerNotKept: {
+        status: 409,
+        type: "idempotency_error",
+        ending: "answered",
+        message: "An earlier call with this Idempotency-Key ran and was answered; its answer was too large to keep.",
+    },
     bodyTooLarge: { status: 413, type: "invalid_request_error", ending: "notRun", message: "The body is too large." },
     overloaded: {
         status: 429,
--- a/packages/schema/src/settings.ts
+++ b/packages/schema/src/settings.ts
@@ -16,6 +16,8 @@
 const Listener = z.strictObject({
     host: z.string().default("127.0.0.1"),
     port: Port,
+    /** The port by which others reach this listener, where ports are mapped. */
+    advertisedPort: Port.optional(),
     tls: Tls.optional(),
 });
 export type Listener = z.infer<typeof Listener>;
@@ -24,6 +26,8 @@
     maxBodyBytes: z.number().int().positive().default(1_048_576),
     /** A caller that has not sent its whole request by then is answered 408. */
     requestReadTimeoutMs: DurationMs.default(10_000),
+    /** A caller that takes nothing of its waiting answer for this long is cut off. */
+    callerStallTimeoutMs: DurationMs.default(30_000),
     /** An upstream that has sent nothing for this long is left. */
     upstreamIdleTimeoutMs: DurationMs.default(10_000),
     connectTimeoutMs: DurationMs.default(1_000),
@@ -82,6 +86,8 @@
         secret: z.string().min(16),
         /** `host:port` of peers to try before any is remembered. */
         seeds: z.array(z.string()).default([]),
+        /** The local IP number that links are dialed from, on machines that have several. */
+        dialFrom: z.string().optional(),
         /** How many entry instances of a zone probe each of its instances. */
         probeOverlap: z.number().int().positive().default(2),
         /** Links that this process keeps to each other zone. */
