--- /dev/null
+++ b/packages/lab/src/__tests__/traces.test.ts
@@ -0,0 +1,69 @@
+/** A trace goes on through each hop: the caller's, the entry instance's, the upstream's. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { callerKey, defaultSpec, type EmbeddedCluster, startEmbeddedCluster } from "../cluster";
+import { startTraceCollector, type TraceCollector } from "../traces";
+
+const serverKind = 2;
+const clientKind = 3;
+const callerSpan = "00f067aa0ba902b7";
+
+let collector: TraceCollector;
+let cluster: EmbeddedCluster;
+
+const traceOf = (digit: string): string => digit.repeat(32);
+
+const call = async (path: string, digit: string, body: object): Promise<void> => {
+    const response = await fetch(`http://127.0.0.1:${cluster.entries[0]!.callerPort}${path}`, {
+        method: "POST",
+        headers: {
+            authorization: `Bearer ${callerKey}`,
+            "content-type": "application/json",
+            traceparent: `00-${traceOf(digit)}-${callerSpan}-01`,
+        },
+        body: JSON.stringify(body),
+    });
+    assert.is(response.status, 200);
+    await response.text();
+};
+
+test.before(async () => {
+    collector = await startTraceCollector();
+    cluster = await startEmbeddedCluster({
+        ...defaultSpec,
+        zones: 1,
+        entriesPerZone: 1,
+        settings: { traces: { endpoint: `http://127.0.0.1:${collector.port}/v1/traces` } },
+    });
+    const messages = [{ role: "user", content: "Dropper 4 is bent." }];
+    await call("/v1/chat/completions", "a", { model: "assistant", max_tokens: 3, messages });
+    await call("/services/bookings/visits", "b", { heater: 9 });
+    await cluster.stop();
+});
+
+test.after(() => collector.kill());
+
+const cases = [
+    { name: "a chat completion", digit: "a", server: "POST /v1/chat/completions", client: "upstream chat" },
+    { name: "a plain call", digit: "b", server: "POST /services/bookings/visits", client: "upstream call" },
+];
+
+for (const { name, digit, server, client } of cases) {
+    test(`${name} has a span for each hop, in the caller's trace`, () => {
+        const spans = collector.spans().filter(({ traceId }) => traceId === traceOf(digit));
+        const entered = spans.find(span => span.name === server);
+        const left = spans.find(span => span.name === client);
+        assert.is(entered?.kind, serverKind);
+        assert.is(entered?.parentSpanId, callerSpan);
+        assert.is(left?.kind, clientKind);
+        assert.is(left?.parentSpanId, entered?.spanId);
+    });
+}
+
+test("the upstream is given the span of its own hop", () => {
+    const left = collector.spans().find(({ name }) => name === "upstream call");
+    const [booking] = cluster.services[0]!.bookings();
+    assert.is(booking?.traceparent, `00-${traceOf("b")}-${left?.spanId}-01`);
+});
+
+test.run();
--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -4,3 +4,4 @@
 export * from "./load";
 export * from "./platform";
 export * from "./service";
+export * from "./traces";
--- a/packages/lab/src/service/serviceStandIn.ts
+++ b/packages/lab/src/service/serviceStandIn.ts
@@ -8,6 +8,8 @@
     readonly attemptId: string;
     readonly path: string;
     readonly body: string;
+    /** The trace that the call belongs to, as it arrived. */
+    readonly traceparent: string | undefined;
 };
 
 export type ServiceFault = {
@@ -40,7 +42,15 @@
             return;
         }
         const requestId = String(request.headers[headerNames.requestId]);
-        bookings.push({ requestId, attemptId: String(request.headers[headerNames.attemptId]), path, body });
+        const attemptId = String(request.headers[headerNames.attemptId]);
+        const { traceparent } = request.headers;
+        bookings.push({
+            requestId,
+            attemptId,
+            path,
+            body,
+            traceparent: typeof traceparent === "string" ? traceparent : undefined,
+        });
         await sleep(systemTimer, fault.delayMs ?? 0);
         if (fault.cut === "afterRun") {
             response.destroy();
