--- a/packages/entry/src/callers/callerDoor.ts
+++ b/packages/entry/src/callers/callerDoor.ts
@@ -34,6 +34,7 @@
 export type Reach = {
     readonly surroundings: Surroundings;
     readonly dispatch: Dispatch;
+    readonly configuration: Feed<Configuration>;
     readonly claims: Claims;
     readonly retryBudget: RetryBudget;
     /** The caller address of an entry instance in another zone where the service is served. */
@@ -54,13 +55,15 @@
     spillTarget: Reach["spillTarget"],
 ): Promise<CallerDoor> {
     const retryBudget = makeRetryBudget(surroundings.settings.limits.retryShare);
-    const reach: Reach = { surroundings, dispatch, claims: makeClaims(surroundings), retryBudget, spillTarget };
+    const claims = makeClaims(surroundings);
+    const reach: Reach = { surroundings, dispatch, configuration, claims, retryBudget, spillTarget };
     const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
         const path = (request.url ?? "/").split("?")[0]!;
         if (answerProbe(path, response, readiness)) {
             return;
         }
         const exchange = openExchange(request, response, path, surroundings, configuration);
+        // A process that is leaving still serves whoever has not heard of it yet.
         const conclusion = readiness.mayServe()
             ? await route(exchange, reach)
             : refuse(exchange, "notReady", { retryAfterMs: 1_000 });
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -92,8 +92,15 @@
     const links = await startPeers({ surroundings, configuration, fleet, hash, callerPort, isReady });
     open.push({ close: links.stop });
     peers = links;
-    const parts = { surroundings, configuration: configuration.feed, fleet, control, peers: links, isReady };
-    const operators = await startOperatorDoor(parts);
+    const operators = await startOperatorDoor({
+        surroundings,
+        configuration: configuration.feed,
+        applyAccepted: configuration.applyAccepted,
+        fleet,
+        control,
+        peers: links,
+        isReady,
+    });
     log.info("started", { callerPort, operatorPort: operators.port, peerPort: links.port });
     const stop = async (): Promise<Stop> => {
         leaving = true;
--- a/packages/lab/src/cluster/index.ts
+++ b/packages/lab/src/cluster/index.ts
@@ -10,6 +10,7 @@
     zoneNames,
 } from "./clusterSpec";
 export { type EmbeddedCluster, startEmbeddedCluster } from "./embeddedCluster";
-export { type ProcessCluster, startProcessCluster } from "./processCluster";
+export { type EntrySwarmOptions, startEntrySwarm } from "./entrySwarm";
+export { type EntryMember, type ProcessCluster, startProcessCluster } from "./processCluster";
 export { runRattanquay } from "./program";
 export { until } from "./until";
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -44,8 +44,8 @@
         }),
         inFlight: new Gauge({
             name: "rattanquay_in_flight_requests",
-            help: "Requests being served.",
-            labelNames: ["service"],
+            help: "Requests whose answers have not wholly left this process, by listener.",
+            labelNames: ["listener"],
             registers,
         }),
         queued: new Gauge({
@@ -78,6 +78,22 @@
             registers,
         }),
         peers: new Gauge({ name: "rattanquay_peers", help: "Peers by state.", labelNames: ["state"], registers }),
+        peerBytes: new Counter({
+            name: "rattanquay_peer_bytes_total",
+            help: "Bytes over peer links, both directions, without TCP and IP headers.",
+            registers,
+        }),
+        peerMessages: new Counter({
+            name: "rattanquay_peer_messages_total",
+            help: "Messages over peer links, both directions.",
+            registers,
+        }),
+        probes: new Counter({
+            name: "rattanquay_probes_total",
+            help: "Probes of instances, as this process's share or because shared evidence was about to get too old.",
+            labelNames: ["cause"],
+            registers,
+        }),
         leaseHeld: new Gauge({
             name: "rattanquay_lease_held",
             help: "1 while this process holds its zone's control lease.",
