--- /dev/null
+++ b/packages/cli/src/__tests__/reference.test.ts
@@ -0,0 +1,86 @@
+/** The reference pages and the program agree, both ways. */
+import { callerErrors, Settings } from "@rattanquay/schema";
+import { makeMetrics } from "@rattanquay/telemetry";
+import { readdirSync, readFileSync } from "node:fs";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { z } from "zod";
+import { commands } from "../commands";
+import { exitCodes } from "../exitCodes";
+
+const page = (name: string): string => readFileSync(`docs/reference/${name}.md`, "utf8");
+
+/** The names in the first column of a page's tables that look like `pattern`. */
+const named = (text: string, pattern: RegExp): readonly string[] =>
+    [...text.matchAll(/^\| `([^`]+)`/gm)].map(match => match[1]!).filter(name => pattern.test(name));
+
+type Shape = {
+    readonly properties?: Readonly<Record<string, Shape>>;
+    readonly items?: Shape;
+    readonly default?: unknown;
+    readonly required?: readonly string[];
+};
+
+/** The dotted keys of a schema; the three listeners share theirs. */
+const keysOf = (shape: Shape, prefix: string): readonly string[] =>
+    Object.entries(shape.properties ?? {}).flatMap(([key, inner]) => {
+        const path = prefix === "" ? key : `${prefix}.${key}`;
+        const below = path.startsWith("listeners.") && prefix === "listeners" ? "listeners.*" : path;
+        const nested = [...keysOf(inner, below), ...keysOf(inner.items ?? {}, `${below}.*`)];
+        return nested.length > 0 && prefix === "" && inner.items === undefined ? nested : [path, ...nested];
+    });
+
+const sourceFiles = (folder: string): readonly string[] =>
+    readdirSync(folder, { recursive: true, encoding: "utf8" })
+        .filter(path => path.endsWith(".ts") && !path.includes("__tests__"))
+        .map(path => `${folder}/${path}`);
+
+const logEvents = (): readonly string[] =>
+    ["cli", "entry", "peer", "platform", "task"]
+        .flatMap(name => sourceFiles(`packages/${name}/src`))
+        .flatMap(file => [...readFileSync(file, "utf8").matchAll(/\blog\.(?:error|warn|info|debug)\(\s*"(\w+)"/g)])
+        .map(match => match[1]!);
+
+const schema = z.toJSONSchema(Settings, { io: "input" }) as Shape;
+
+const cases = [
+    {
+        name: "metrics",
+        program: () => makeMetrics().registry.getMetricsAsArray().map(metric => metric.name),
+        documented: () => named(page("metrics"), /^rattanquay_/),
+    },
+    {
+        name: "errors",
+        program: () => Object.entries(callerErrors).map(([code, { status, ending }]) => `${code} ${status} ${ending}`),
+        documented: () =>
+            [...page("errors").matchAll(/^\| `(\w+)` \| (\d+) \| `(\w+)` \|/gm)].map(match => match.slice(1).join(" ")),
+    },
+    {
+        name: "settings",
+        program: () => keysOf(schema, ""),
+        documented: () => named(page("settings"), /./),
+    },
+    { name: "log-events", program: logEvents, documented: () => named(page("log-events"), /./) },
+    {
+        name: "commands",
+        program: () => commands.map(({ words }) => words),
+        documented: () => {
+            const lines = named(page("commands"), /./).join("\n") + page("commands");
+            return commands.map(({ words }) => words).filter(words => lines.includes(`\`${words}`));
+        },
+    },
+];
+
+for (const { name, program, documented } of cases) {
+    test(`docs/reference/${name}.md and the program name the same`, () => {
+        const unique = (names: readonly string[]): readonly string[] => [...new Set(names)].sort();
+        assert.equal(unique(documented()), unique(program()));
+    });
+}
+
+test("the exit codes stand in docs/reference/commands.md", () => {
+    const documented = [...page("commands").matchAll(/^\| (\d+) \|/gm)].map(match => Number(match[1]));
+    assert.equal(documented, Object.values(exitCodes));
+});
+
+test.run();
