--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -5,3 +5,4 @@
 export * from "./load";
 export * from "./platform";
 export * from "./service";
+export * from "./traces";
