--- a/packages/lab/src/cluster/processCluster.ts
+++ b/packages/lab/src/cluster/processCluster.ts
@@ -1,7 +1,7 @@
 /** A whole cluster of separate processes on loopback. */
 import { type ChildProcess, spawn } from "node:child_process";
 import { closeSync, mkdirSync, mkdtempSync, openSync, writeFileSync } from "node:fs";
-import { type AddressInfo, createServer } from "node:net";
+import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { basename, dirname, join } from "node:path";
 import { control } from "../httpServer";
@@ -39,13 +39,30 @@
     return basename(own) === "rattanquay-lab.cjs" ? dirname(own) : "dist";
 }
 
-/** A port that was free a moment ago. */
+const firstPort = 10_000;
+const endPort = 32_768;
+const given = new Set<number>();
+
+/**
+ * A port that was free a moment ago, below those that systems commonly give to outgoing connections: such a connection
+ * could take the port before its program listens, or while that is being started again.
+ */
 async function freePort(): Promise<number> {
+    for (;;) {
+        const port = firstPort + Math.floor(Math.random() * (endPort - firstPort));
+        if (!given.has(port) && await canListen(port)) {
+            given.add(port);
+            return port;
+        }
+    }
+}
+
+function canListen(port: number): Promise<boolean> {
     const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address() as AddressInfo;
-    await new Promise(resolve => server.close(resolve));
-    return port;
+    return new Promise(resolve => {
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+    });
 }
 
 async function isUp(port: number, path: string): Promise<boolean> {
--- a/packages/lab/src/experiments/index.ts
+++ b/packages/lab/src/experiments/index.ts
@@ -1,8 +1,9 @@
 /** Experiments by name. */
 import { complainUsage, type Experiment } from "./experiment";
+import { outcomes } from "./outcomes";
 import { overhead } from "./overhead";
 
-const experiments: Readonly<Record<string, Experiment>> = { overhead };
+const experiments: Readonly<Record<string, Experiment>> = { outcomes, overhead };
 
 /** Runs the experiment that the first argument names and prints its result as the last line. */
 export async function runExperiment(args: readonly string[]): Promise<number> {
--- a/packages/lab/src/link/link.ts
+++ b/packages/lab/src/link/link.ts
@@ -3,10 +3,10 @@
 
 export type LinkFault =
     | { readonly kind: "none" }
-    /** The connection is reset once this many bytes have passed from the caller; the rest never arrives. */
-    | { readonly kind: "cutRequest"; readonly afterBytes: number }
-    /** The connection is reset once this many bytes of the answer have passed. */
-    | { readonly kind: "cutAnswer"; readonly afterBytes: number }
+    /** A connection is reset once this many bytes have passed from the caller; the rest never arrives. */
+    | { readonly kind: "cutRequest"; readonly afterBytes: () => number }
+    /** A connection is reset once this many bytes of the answer have passed. */
+    | { readonly kind: "cutAnswer"; readonly afterBytes: () => number }
     /** Connections are taken, and nothing passes in either direction. */
     | { readonly kind: "silent" };
 
@@ -56,8 +56,8 @@
         near.resume();
         return;
     }
-    pass(near, far, fault.kind === "cutRequest" ? fault.afterBytes : Infinity, cut);
-    pass(far, near, fault.kind === "cutAnswer" ? fault.afterBytes : Infinity, cut);
+    pass(near, far, fault.kind === "cutRequest" ? fault.afterBytes() : Infinity, cut);
+    pass(far, near, fault.kind === "cutAnswer" ? fault.afterBytes() : Infinity, cut);
 }
 
 /** Passes at most `limit` bytes; the last of them are handed over before the cut. */
--- a/packages/lab/src/service/index.ts
+++ b/packages/lab/src/service/index.ts
@@ -1,2 +1,2 @@
 /** A stand-in for a plain service whose bookings may not be repeated. */
-export { type ServiceStandIn, startService } from "./serviceStandIn";
+export { type ServiceFault, type ServiceStandIn, startService } from "./serviceStandIn";
