--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,7 +4,7 @@
 import { type Log, makeMetrics, makeTracing } from "@rattanquay/telemetry";
 import { sleep, type Timer } from "@rattanquay/timer";
 import makeXxhash from "xxhash-wasm";
-import { startCallerDoor } from "./callers";
+import { type CallerDoor, startCallerDoor } from "./callers";
 import { startConfig } from "./config";
 import { startControl } from "./control";
 import { startDispatch } from "./dispatch";
@@ -33,63 +33,109 @@
     readonly peerTraffic: Peers["traffic"];
     readonly isReady: () => boolean;
     /** Ends gracefully: leaves the balancer, lets running requests finish, then stops. */
-    readonly stop: () => Promise<void>;
+    readonly stop: () => Promise<Stop>;
 };
 
-/** Starts an entry instance; rejects when a listener cannot be opened. */
+/** How a graceful stop went: the number of requests that outlasted the grace period and were cut. */
+export type Stop = { readonly cut: number };
+
+/** Starts an entry instance; rejects, with nothing left running, when a listener cannot be opened. */
 export async function startEntry(options: EntryOptions): Promise<Entry> {
     const surroundings = makeSurroundings(options);
-    const { settings, timer, log } = surroundings;
     const { h32 } = await makeXxhash();
-    const hash = (text: string): number => h32(text);
+    const tasks = startTasks(surroundings, text => h32(text));
+    const open: { close: () => void }[] = [{ close: tasks.stop }];
+    try {
+        return await openListeners(surroundings, tasks, open);
+    }
+    catch (error) {
+        open.reverse().forEach(part => part.close());
+        throw error;
+    }
+}
+
+type Tasks = ReturnType<typeof startTasks>;
+
+/** Starts the tasks that own the process's state; the listeners stand in front of them. */
+function startTasks(surroundings: Surroundings, hash: (text: string) => number) {
+    const configuration = startConfig(surroundings);
+    const fleet = startFleet(surroundings, hash);
+    configuration.feed.subscribe(({ snapshot }) => fleet.setSnapshot(snapshot));
+    const dispatch = startDispatch(surroundings, configuration.feed, fleet);
+    const control = startControl(surroundings, configuration.feed, fleet);
+    const stop = (): void => {
+        control.stop();
+        dispatch.stop();
+        fleet.stop();
+        configuration.stop();
+        surroundings.table.stop();
+    };
+    return { configuration, fleet, dispatch, control, hash, stop };
+}
+
+/** Opens the three listeners and notes each in `open`, so that a failure at a later one can close it again. */
+async function openListeners(
+    surroundings: Surroundings,
+    { configuration, fleet, dispatch, control, hash, stop: stopTasks }: Tasks,
+    open: { close: () => void }[],
+): Promise<Entry> {
+    const { log } = surroundings;
     let leaving = false;
     let peers: Peers | undefined = undefined;
-    const config = startConfig(surroundings);
-    const fleet = startFleet(surroundings, hash);
-    config.feed.subscribe(({ snapshot }) => fleet.setSnapshot(snapshot));
-    const dispatch = startDispatch(surroundings, config.feed, fleet);
-    const control = startControl(surroundings, config.feed, fleet);
-    const isReady = (): boolean => !leaving && peers?.feed.latest().caughtUp === true;
+    const mayServe = (): boolean => peers?.feed.latest().caughtUp === true;
+    const isReady = (): boolean => !leaving && mayServe();
     const spillTarget = (service: string): string | undefined => peers?.spillTarget(service);
-    const callers = await startCallerDoor(surroundings, config.feed, dispatch, isReady, spillTarget);
+    const readiness = { isReady, mayServe };
+    const callers = await startCallerDoor(surroundings, configuration.feed, dispatch, readiness, spillTarget);
+    open.push(callers);
     const { port: callerPort } = callers;
-    const links = await startPeers({ surroundings, configuration: config, fleet, hash, callerPort, isReady });
+    const links = await startPeers({ surroundings, configuration, fleet, hash, callerPort, isReady });
+    open.push({ close: links.stop });
     peers = links;
     const operators = await startOperatorDoor({
         surroundings,
-        configuration: config.feed,
+        configuration: configuration.feed,
+        applyAccepted: configuration.applyAccepted,
         fleet,
         control,
         peers: links,
         isReady,
     });
     log.info("started", { callerPort, operatorPort: operators.port, peerPort: links.port });
-
-    const stop = async (): Promise<void> => {
+    const stop = async (): Promise<Stop> => {
         leaving = true;
         control.stop();
         log.info("leaving", { inFlight: callers.inFlight() });
-        await sleep(timer, settings.limits.shutdownNoticeMs);
-        await Promise.race([callers.drain(), sleep(timer, settings.limits.shutdownGraceMs)]);
-        log.info("stopped", { cut: callers.inFlight() });
-        callers.close();
+        const cut = await leave(callers, surroundings);
         operators.close();
         links.stop();
-        dispatch.stop();
-        fleet.stop();
-        config.stop();
-        surroundings.table.stop();
+        stopTasks();
         await surroundings.tracing.stop();
+        log.info("stopped", { cut });
+        return { cut };
     };
+    const { port: peerPort, traffic: peerTraffic } = links;
+    return { callerPort, operatorPort: operators.port, peerPort, peerTraffic, isReady, stop };
+}
 
-    return {
-        callerPort,
-        operatorPort: operators.port,
-        peerPort: links.port,
-        peerTraffic: links.traffic,
-        isReady,
-        stop,
-    };
+/** Waits until the balancer has noticed, then for running answers; resolves to the number that were cut. */
+async function leave(callers: CallerDoor, { settings, timer }: Surroundings): Promise<number> {
+    await sleep(timer, settings.limits.shutdownNoticeMs);
+    await within(timer, settings.limits.shutdownGraceMs, callers.drain());
+    const cut = callers.inFlight();
+    callers.close();
+    return cut;
+}
+
+/** Waits for `done`, but no longer than `limitMs`. */
+function within(timer: Timer, limitMs: number, done: Promise<void>): Promise<void> {
+    return new Promise(resolve => {
+        const cancel = timer.after(limitMs, resolve);
+        void done.then(() => {
+            cancel();
+            resolve();
+        });
+    });
 }
 
 function makeSurroundings(options: EntryOptions): Surroundings {
--- a/packages/lab/src/cluster/processCluster.ts
+++ b/packages/lab/src/cluster/processCluster.ts
@@ -3,10 +3,21 @@
 import { closeSync, mkdirSync, mkdtempSync, openSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
-import { basename, dirname, join } from "node:path";
+import { join } from "node:path";
 import { control } from "../httpServer";
+import { makeNetwork, type Network } from "../link";
 import { submit, untilServing } from "./clusterClient";
-import { type ClusterSpec, enginePlaces, entryNames, type EntryPorts, settingsFor, ticketFor } from "./clusterSpec";
+import {
+    type Advertised,
+    type ClusterSpec,
+    enginePlaces,
+    entryNames,
+    type EntryPorts,
+    settingsFor,
+    ticketFor,
+    zoneNames,
+} from "./clusterSpec";
+import { programsFolder } from "./programsFolder";
 import { until } from "./until";
 
 export type Member = { readonly name: string; readonly port: number; readonly child: ChildProcess };
@@ -26,19 +37,16 @@
     readonly startLab: (name: string, args: readonly string[]) => Promise<Member>;
     /** Starts an entry instance again under its old name and ports. */
     readonly restartEntry: (name: string) => Promise<void>;
+    /** The ways that can be cut, when the spec asks for them. */
+    readonly network: Network | undefined;
     readonly stop: () => Promise<void>;
 };
 
 const startTimeoutMs = 20_000;
+const maxSeeds = 6;
 const serveTimeoutMs = 30_000;
 const entryEnvironment = { AWS_ACCESS_KEY_ID: "lab", AWS_SECRET_ACCESS_KEY: "lab" };
 
-/** Where the bundled programs are: beside the lab's own bundle, or in `dist`. */
-function programsFolder(): string {
-    const own = process.argv[1] ?? "";
-    return basename(own) === "rattanquay-lab.cjs" ? dirname(own) : "dist";
-}
-
 const firstPort = 10_000;
 const endPort = 32_768;
 const given = new Set<number>();
@@ -133,23 +141,40 @@
         ),
     );
 
+    const network = spec.cuttable ? makeNetwork(zoneNames) : undefined;
+    const platformPorts = new Map(
+        await Promise.all(
+            zoneNames.map(async zone =>
+                [zone as string, await network?.platformWay(zone, platform.port) ?? platform.port] as const
+            ),
+        ),
+    );
+    const waysTo = new Map<string, Advertised>();
+
+    const advertise = async (id: string, zone: string, ports: EntryPorts): Promise<Advertised> => {
+        const known = waysTo.get(id) ?? {
+            address: network?.addressOf(zone) ?? "127.0.0.1",
+            callers: await network?.wayTo(zone, ports.callers) ?? ports.callers,
+            peers: await network?.wayTo(zone, ports.peers) ?? ports.peers,
+        };
+        waysTo.set(id, known);
+        return known;
+    };
+
     const startEntry = async (id: string, availabilityZone: string, ports: EntryPorts): Promise<EntryMember> => {
         const file = join(folder, `${id}.json`);
-        writeFileSync(
-            file,
-            JSON.stringify(
-                settingsFor(spec, { id, availabilityZone, platformPort: platform.port, ports }),
-                undefined,
-                4,
-            ),
-        );
+        const advertised = await advertise(id, availabilityZone, ports);
+        const seeds = [...waysTo.values()].map(({ address, peers }) => `${address}:${peers}`).slice(0, maxSeeds);
+        const platformPort = platformPorts.get(availabilityZone)!;
+        const settings = settingsFor(spec, { id, availabilityZone, platformPort, ports, advertised, seeds });
+        writeFileSync(file, JSON.stringify(settings, undefined, 4));
         const child = run(id, "rattanquay.cjs", ["serve", "--settings", file]);
         await until(`${id} to listen`, startTimeoutMs, () => isUp(ports.operators, "/healthz"));
         await control(platform.port, "/lab/entries", {
             process: id,
             availabilityZone,
-            peerAddress: `127.0.0.1:${ports.peers}`,
-            callerAddress: `127.0.0.1:${ports.callers}`,
+            peerAddress: `${advertised.address}:${advertised.peers}`,
+            callerAddress: `${advertised.address}:${advertised.callers}`,
         });
         return { name: id, port: ports.callers, child, availabilityZone, ports };
     };
@@ -169,6 +194,7 @@
         engines,
         services,
         entries,
+        network,
         startLab: (name, args) => runLab(name, args, "/"),
         journals: () => [...engines, ...services].map(member => journalOf(member.name)),
         restartService: async name => {
@@ -182,6 +208,7 @@
         },
         stop: async () => {
             killAll();
+            network?.close();
             process.off("exit", killAll);
         },
     };
