Tell no "not run" after an attempt that may have run

Cause: a repeatable call to a plain service whose first attempt was cut and whose second met a refused connection was told "not run" (upstreamUnreachable). Found by a rule of the history checker (trueRefusal) when one guard was taken out, then on the build as it was, by a scenario made for it. Ruled out: a doubtful earlier attempt followed by an answer: the answer stands. Change: once an attempt may have run, only an answer makes that good.

--- a/packages/entry/src/callers/plain.ts
+++ b/packages/entry/src/callers/plain.ts
@@ -78,25 +78,29 @@
     return claimAndAnswer(exchange, call, key, reach, () => tryUpstreams(exchange, call, reach));
 }
 
+const isInDoubt = (tried: Tried): boolean => tried.kind === "cut" || tried.kind === "timedOut";
+
+/** Once an attempt may have run, only an answer can make that good: no later attempt's refusal is the call's. */
 async function tryUpstreams(exchange: Exchange, call: PlainCall, reach: Reach): Promise<Tried> {
     const budget = reach.retryBudget;
     const tried = new Set<string>();
+    let mayHaveRun: Tried | undefined;
     let last: Tried | undefined;
     budget.noteFirstAttempt();
     for (let attempt = 1;; attempt++) {
         const id = `${exchange.requestId}/${randomUUID()}`;
         const admission = await admit(exchange, call, id, tried, reach);
         if (admission.kind !== "started") {
-            return last ?? admission;
+            return mayHaveRun ?? last ?? admission;
         }
         last = await sendIfStillRight(exchange, call, admission.replica.address, id, reach);
         reach.dispatch.release(id);
         reach.surroundings.metrics.attempts.inc({ service: exchange.service, result: last.kind });
         tried.add(admission.replica.replica);
-        const mayRepeat = last.kind === "unreached"
-            || (call.repeatable && (last.kind === "cut" || last.kind === "timedOut"));
+        mayHaveRun = isInDoubt(last) ? last : mayHaveRun;
+        const mayRepeat = last.kind === "unreached" || (call.repeatable && isInDoubt(last));
         if (!mayRepeat || attempt >= maxAttempts || !budget.spend()) {
-            return last;
+            return last.kind === "answered" ? last : mayHaveRun ?? last;
         }
     }
 }
--- a/packages/lab/src/link/__tests__/link.test.ts
+++ b/packages/lab/src/link/__tests__/link.test.ts
@@ -13,6 +13,7 @@
     { name: "passes", fault: { kind: "none" }, ran: 1, ok: true },
     { name: "cuts a request", fault: { kind: "cutRequest", afterBytes: () => 60 }, ran: 0, ok: false },
     { name: "cuts an answer", fault: { kind: "cutAnswer", afterBytes: () => 60 }, ran: 1, ok: false },
+    { name: "refuses", fault: { kind: "refused" }, ran: 0, ok: false },
     { name: "is silent", fault: { kind: "silent" }, ran: 0, ok: false },
 ];
 
--- a/packages/lab/src/link/link.ts
+++ b/packages/lab/src/link/link.ts
@@ -8,7 +8,9 @@
     /** A connection is reset once this many bytes of the answer have passed. */
     | { readonly kind: "cutAnswer"; readonly afterBytes: () => number }
     /** Connections are taken, and nothing passes in either direction. */
-    | { readonly kind: "silent" };
+    | { readonly kind: "silent" }
+    /** No connection is taken. */
+    | { readonly kind: "refused" };
 
 export type Link = {
     readonly port: number;
@@ -31,10 +33,17 @@
     });
     return new Promise(resolve => {
         server.listen(0, "127.0.0.1", () => {
+            const { port } = server.address() as AddressInfo;
             resolve({
-                port: (server.address() as AddressInfo).port,
+                port,
                 setFault: next => {
                     fault = next;
+                    if (next.kind === "refused") {
+                        server.close();
+                    }
+                    else if (!server.listening) {
+                        server.listen(port, "127.0.0.1");
+                    }
                 },
                 stop: () => {
                     server.close();
--- a/packages/lab/src/proof/scenarios.ts
+++ b/packages/lab/src/proof/scenarios.ts
@@ -74,6 +74,13 @@
         heal: healLinks,
     },
     linkSilent: { hamper: async ({ links }) => links[0]!.setFault({ kind: "silent" }), heal: healLinks },
+    oneCutsOtherRefuses: {
+        hamper: async ({ links }, random) => {
+            links[0]!.setFault({ kind: "cutAnswer", afterBytes: () => between(random, 1, 100) });
+            links[1]!.setFault({ kind: "refused" });
+        },
+        heal: healLinks,
+    },
     platformDown: faultPlatform({ down: true }),
     platformSlow: faultPlatform({ slowMs: 300 }),
     platformTooSlow: faultPlatform({ slowMs: 1_300 }),
