Send only on evidence that is fresh at the send, and prove what is not sent any more

Cause: a process paused after a judgement could send on evidence of nearly twice its allowed age: the judgement's own age was checked, not the evidence's. What is no longer sent after a wait (deadline, caller gone, upstream taken away) had no test. Change: servesOnFreshEvidence; tests of sends after a wait; a call in doubt is told when to ask again, as the earlier one may still be under way.

--- /dev/null
+++ b/packages/entry/src/callers/__tests__/plain.test.ts
@@ -0,0 +1,147 @@
+/** What is not sent any more: nothing goes out when the wait for a place or a claim has outlasted its reason. */
+import { emptySnapshot, makeRetryBudget, type Snapshot } from "@rattanquay/core";
+import { Settings } from "@rattanquay/schema";
+import { makeTracing } from "@rattanquay/telemetry";
+import { systemTimer } from "@rattanquay/timer";
+import { createServer, type Server } from "node:http";
+import { type AddressInfo } from "node:net";
+import { Readable } from "node:stream";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { type Reach } from "../callerDoor";
+import { type Exchange } from "../exchange";
+import { servePlain } from "../plain";
+
+const timeoutMs = 1_000;
+let upstream: Server;
+let received = 0;
+
+test.before(async () => {
+    upstream = createServer((unusedRequest, response) => {
+        received++;
+        response.end("booked");
+    });
+    await new Promise<void>(resolve => upstream.listen(0, "127.0.0.1", resolve));
+});
+test.before.each(() => {
+    received = 0;
+});
+test.after(() => void upstream.close());
+
+const addressOf = (): string => `127.0.0.1:${(upstream.address() as AddressInfo).port}`;
+
+function snapshotWith(address: string): Snapshot {
+    const upstreams = [{ address, availabilityZone: "zone-a" }];
+    const service = { kind: "plain", upstreams, repeatable: [], concurrency: 1, priority: 0, timeoutMs };
+    return {
+        ...emptySnapshot,
+        services: new Map([["bookings", service]]),
+        workspaces: new Map([["w", { services: ["bookings"] }]]),
+    } as unknown as Snapshot;
+}
+
+type Given = { readonly lateMs?: number; readonly isGone?: boolean; readonly declared?: string; readonly key?: string };
+
+/** Everything around one call; the grant comes `lateMs` after the request arrived, by the process's own clock. */
+async function serve({ lateMs = 0, isGone = false, declared = addressOf(), key }: Given) {
+    let late = 0;
+    const states: string[] = [];
+    const told: { status?: number } = {};
+    const response = {
+        destroyed: false,
+        headersSent: false,
+        once: () => undefined,
+        off: () => undefined,
+        writeHead: (status: number) => {
+            told.status = status;
+        },
+        end: () => undefined,
+    };
+    const tracing = makeTracing({ endpoint: undefined, process: "p", availabilityZone: "zone-a" });
+    const request = Object.assign(Readable.from([Buffer.from("{}")]), {
+        method: "POST",
+        url: "/services/bookings/visits",
+        headers: key === undefined ? {} : { "idempotency-key": key },
+    });
+    const exchange = {
+        requestId: "r",
+        request,
+        response,
+        path: "/services/bookings/visits",
+        span: tracing.startServer("call", {}),
+        arrivedAtMs: systemTimer.nowMs(),
+        snapshot: snapshotWith(addressOf()),
+        service: "none",
+    } as unknown as Exchange;
+    const settler = {
+        settle: async ({ state }: { state: string }) => states.push(state) > 0,
+        settleLate: async () => undefined,
+    };
+    const reach = {
+        surroundings: {
+            settings: { limits: Settings.shape.limits.parse({}) },
+            timer: { ...systemTimer, nowMs: () => systemTimer.nowMs() + late },
+            metrics: { attempts: { inc: () => undefined } },
+            tracing,
+        },
+        retryBudget: makeRetryBudget(0),
+        configuration: { latest: () => ({ snapshot: snapshotWith(declared) }) },
+        claims: { claim: async () => ({ kind: "granted", settler }) },
+        dispatch: {
+            admit: async () => {
+                late = lateMs;
+                response.destroyed = isGone;
+                return { kind: "started", replica: { replica: addressOf(), address: addressOf() } };
+            },
+            release: () => undefined,
+            abandon: () => undefined,
+        },
+    } as unknown as Reach;
+    const conclusion = await servePlain(exchange, "w", reach);
+    return { ...conclusion, received, states };
+}
+
+const cases = [
+    { name: "in time", given: {}, expected: { ending: "answered", code: "ok", received: 1, states: [] } },
+    {
+        name: "woken after its time",
+        given: { lateMs: timeoutMs },
+        expected: { ending: "notRun", code: "overloaded", received: 0, states: [] },
+    },
+    {
+        name: "woken after its time, claimed",
+        given: { lateMs: timeoutMs, key: "k" },
+        expected: { ending: "notRun", code: "overloaded", received: 0, states: ["notRun"] },
+    },
+    {
+        name: "left by its caller",
+        given: { isGone: true },
+        expected: { ending: "notRun", code: "callerGone", received: 0, states: [] },
+    },
+    {
+        name: "left by its caller, claimed",
+        given: { isGone: true, key: "k" },
+        expected: { ending: "notRun", code: "callerGone", received: 0, states: ["notRun"] },
+    },
+    {
+        name: "granted an upstream that a ticket has taken away",
+        given: { declared: "127.0.0.1:1" },
+        expected: { ending: "notRun", code: "upstreamUnreachable", received: 0, states: [] },
+    },
+    {
+        name: "claimed and answered",
+        given: { key: "k" },
+        expected: { ending: "answered", code: "ok", received: 1, states: ["answered"] },
+    },
+    {
+        name: "given an empty key",
+        given: { key: "" },
+        expected: { ending: "notRun", code: "invalidRequest", received: 0, states: [] },
+    },
+];
+
+for (const { name, given, expected } of cases) {
+    test(`a call ${name}`, async () => assert.equal(await serve(given), expected));
+}
+
+test.run();
--- a/packages/entry/src/callers/plainClaim.ts
+++ b/packages/entry/src/callers/plainClaim.ts
@@ -11,6 +11,8 @@
 /** What is kept of an answer, well below what one row of the table may hold. */
 const maxKeptBytes = 192 * 1_024;
 const platformRetryAfterMs = 1_000;
+/** The earlier call may still be under way, and its answer may yet be kept. */
+const inDoubtRetryAfterMs = 1_000;
 
 type Run = () => Promise<Tried>;
 
@@ -38,7 +40,7 @@
             : settleAround(settler, settlement, () => answerPlain(exchange, tried));
     },
     answered: async ({ row }, exchange) => replay(exchange, row),
-    inDoubt: async (unusedClaim, exchange) => refuse(exchange, "inDoubt"),
+    inDoubt: async (unusedClaim, exchange) => refuse(exchange, "inDoubt", { retryAfterMs: inDoubtRetryAfterMs }),
     keyReused: async (unusedClaim, exchange) => refuse(exchange, "keyReused"),
     unavailable: async ({ settler }, exchange) => {
         const conclusion = refuse(exchange, "platformUnavailable", { retryAfterMs: platformRetryAfterMs });
--- a/packages/entry/src/dispatch/dispatchTask.ts
+++ b/packages/entry/src/dispatch/dispatchTask.ts
@@ -4,6 +4,7 @@
 import { type Configuration } from "../config";
 import { type Fleet, type ZoneKnowledge } from "../fleet";
 import { type Surroundings } from "../surroundings";
+import { servesOnFreshEvidence } from "./freshEvidence";
 
 /** What a request is told when it asks for a replica. */
 export type Grant =
@@ -91,11 +92,11 @@
         admit: job => ask<Message, Grant>(mailbox, reply => ({ kind: "admit", job, reply })),
         release: id => mailbox.send({ kind: "release", id }),
         abandon: id => mailbox.send({ kind: "abandon", id }),
-        stillServing: replica => {
-            const { standings, judgedAtMs } = fleet.feed.latest();
-            return standings.get(replica)?.kind === "serving"
-                && timer.nowMs() - judgedAtMs <= settings.intervals.evidenceMaxAgeMs;
-        },
+        stillServing: replica =>
+            servesOnFreshEvidence(fleet.feed.latest(), replica, {
+                nowMs: timer.nowMs(),
+                maxAgeMs: settings.intervals.evidenceMaxAgeMs,
+            }),
         stop: () => {
             cancel();
             mailbox.close();
--- /dev/null
+++ b/packages/entry/src/dispatch/freshEvidence.ts
@@ -0,0 +1,20 @@
+import { type ZoneKnowledge } from "../fleet";
+
+/**
+ * Whether a group may be given work at this instant.
+ *
+ * The age of each member's evidence counts, and not when the group was last judged on it: a process that was paused after
+ * a judgement would otherwise send on evidence of nearly twice the age.
+ */
+export function servesOnFreshEvidence(
+    { groups, standings, evidence }: Pick<ZoneKnowledge, "groups" | "standings" | "evidence">,
+    replica: string,
+    limits: { readonly nowMs: number; readonly maxAgeMs: number },
+): boolean {
+    const isFresh = (instance: string): boolean =>
+        limits.nowMs - (evidence.get(instance)?.sentAtMs ?? -Infinity) <= limits.maxAgeMs;
+    const group = groups.find(known => known.group === replica);
+    return group !== undefined
+        && standings.get(replica)?.kind === "serving"
+        && group.members.every(member => isFresh(member.instance));
+}
