--- a/packages/lab/src/experiments/index.ts
+++ b/packages/lab/src/experiments/index.ts
@@ -1,10 +1,11 @@
 /** Experiments by name. */
 import { cut } from "./cut";
 import { complainUsage, type Experiment } from "./experiment";
+import { outcomes } from "./outcomes";
 import { overhead } from "./overhead";
 import { slopes } from "./slopes";
 
-const experiments: Readonly<Record<string, Experiment>> = { cut, overhead, slopes };
+const experiments: Readonly<Record<string, Experiment>> = { cut, outcomes, overhead, slopes };
 
 /** Runs the experiment that the first argument names and prints its result as the last line. */
 export async function runExperiment(args: readonly string[]): Promise<number> {
--- a/packages/lab/src/link/link.ts
+++ b/packages/lab/src/link/link.ts
@@ -3,12 +3,14 @@
 
 export type LinkFault =
     | { readonly kind: "none" }
-    /** The connection is reset once this many bytes have passed from the caller; the rest never arrives. */
-    | { readonly kind: "cutRequest"; readonly afterBytes: number }
-    /** The connection is reset once this many bytes of the answer have passed. */
-    | { readonly kind: "cutAnswer"; readonly afterBytes: number }
+    /** A connection is reset once this many bytes have passed from the caller; the rest never arrives. */
+    | { readonly kind: "cutRequest"; readonly afterBytes: () => number }
+    /** A connection is reset once this many bytes of the answer have passed. */
+    | { readonly kind: "cutAnswer"; readonly afterBytes: () => number }
     /** Connections are taken, and nothing passes in either direction. */
-    | { readonly kind: "silent" };
+    | { readonly kind: "silent" }
+    /** No connection is taken. */
+    | { readonly kind: "refused" };
 
 export type Link = {
     readonly port: number;
@@ -31,10 +33,17 @@
     });
     return new Promise(resolve => {
         server.listen(0, "127.0.0.1", () => {
+            const { port } = server.address() as AddressInfo;
             resolve({
-                port: (server.address() as AddressInfo).port,
+                port,
                 setFault: next => {
                     fault = next;
+                    if (next.kind === "refused") {
+                        server.close();
+                    }
+                    else if (!server.listening) {
+                        server.listen(port, "127.0.0.1");
+                    }
                 },
                 stop: () => {
                     server.close();
@@ -56,8 +65,8 @@
         near.resume();
         return;
     }
-    pass(near, far, fault.kind === "cutRequest" ? fault.afterBytes : Infinity, cut);
-    pass(far, near, fault.kind === "cutAnswer" ? fault.afterBytes : Infinity, cut);
+    pass(near, far, fault.kind === "cutRequest" ? fault.afterBytes() : Infinity, cut);
+    pass(far, near, fault.kind === "cutAnswer" ? fault.afterBytes() : Infinity, cut);
 }
 
 /** Passes at most `limit` bytes; the last of them are handed over before the cut. */
