Let work in by time, shares and class, and spread it without a herd

Cause: the thin path gave work to any replica that its own process thought free, reserved a fixed quarter of each replica for short work by the caller's token limit, queued in arrival order and refused only when a deadline had passed.

Change: core/admission (length estimates by workspace and kind, start-time fair queueing over workspaces, a concurrency limit that follows the time between tokens, places kept from long work, a budget of places shared by processes, the estimated wait) and core/routing (own work at once and others' by the lagged report with its age, outlier ejection, the queue of a service). Engines get a priority; a stream that outgrows its class is counted as long. The lab gets the workload format, open-loop load and the experiments hol, crest, slow-replica and stale-reports. Callers' chat.ts changes in three places: it meters an attempt, sends the priority and hands the account back with the place.

--- /dev/null
+++ b/packages/core/src/admission/__tests__/admission.test.ts
@@ -0,0 +1,115 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+    makeConcurrencyLimit,
+    makeDrainRate,
+    makeFairQueue,
+    makeLengthEstimates,
+    makePlaceReserve,
+    type Queueable,
+} from "../index";
+
+const hint = { workspace: "installers", kind: "diagnosis", maxTokens: 1_000 };
+const lengthCases = [
+    { name: "half of the token limit for an unknown kind", learnt: [], expected: [500, 500] },
+    { name: "the length seen", learnt: [40], expected: [40, 40] },
+    {
+        name: "follows a change within some ten answers",
+        learnt: [40, 40, ...Array(12).fill(400)],
+        expected: [300, 400],
+    },
+    { name: "never above the token limit", learnt: [5_000], expected: [1_000, 1_000] },
+];
+for (const { name, learnt, expected: [least, most] } of lengthCases) {
+    test(`expected length: ${name}`, () => {
+        const lengths = makeLengthEstimates();
+        learnt.forEach(tokens => lengths.learn(hint, tokens));
+        const tokens = lengths.expect(hint);
+        assert.ok(tokens >= least! && tokens <= most!, `${tokens}`);
+    });
+}
+
+test("expected length: kinds and workspaces are kept apart, within a bound", () => {
+    const lengths = makeLengthEstimates();
+    Array.from({ length: 3_000 }, (unused, index) => lengths.learn({ ...hint, kind: `kind ${index}` }, 10));
+    assert.is(lengths.size(), 2_048);
+    assert.is(lengths.expect({ ...hint, workspace: "inspectors", kind: "kind 2999" }), 500);
+    assert.is(lengths.expect({ ...hint, kind: "kind 2999" }), 10);
+});
+
+const item = (id: string, workspace: string, share = 1, priority = 0): Queueable => ({
+    id,
+    workspace,
+    share,
+    priority,
+});
+const orderCases = [
+    { name: "arrival within a workspace", items: [item("a", "w"), item("b", "w")], expected: "ab" },
+    {
+        name: "a small workspace goes between the work of a large one",
+        items: [item("a", "w"), item("b", "w"), item("c", "w"), item("d", "v")],
+        expected: "adbc",
+    },
+    {
+        name: "twice the share, twice the places",
+        items: [..."abc"].map(id => item(id, "w")).concat([..."defg"].map(id => item(id, "v", 2))),
+        expected: "adebfgc",
+    },
+    { name: "priority first", items: [item("a", "w"), item("b", "w", 1, 3)], expected: "ba" },
+];
+for (const { name, items, expected } of orderCases) {
+    test(`queue order: ${name}`, () => {
+        const queue = makeFairQueue<Queueable>();
+        items.forEach(queue.push);
+        let order = "";
+        for (let next = queue.startFirst(() => true); next !== undefined; next = queue.startFirst(() => true)) {
+            order += next.id;
+        }
+        assert.is(order, expected);
+    });
+}
+
+const limitCases = [
+    { name: "rises while the target is far", declared: 64, samples: [[16, 32]], expected: [20, 26] },
+    { name: "falls when the target is missed", declared: 16, samples: [[16, 80]], expected: [9, 11] },
+    {
+        name: "a slow answer beside little other work says nothing",
+        declared: 16,
+        samples: [[2, 80]],
+        expected: [16, 16],
+    },
+    { name: "never above the declared concurrency", declared: 20, samples: [[20, 5]], expected: [20, 20] },
+    { name: "never to nothing", declared: 16, samples: [[16, 5_000]], expected: [4, 4] },
+];
+for (const { name, declared, samples, expected: [least, most] } of limitCases) {
+    test(`concurrency limit: ${name}`, () => {
+        const limit = makeConcurrencyLimit({ declared, targetMs: 52 });
+        Array.from({ length: 60 }, () => samples.forEach(([running, ms]) => limit.observe(running!, ms!)));
+        assert.ok(limit.limit() >= least! && limit.limit() <= most!, `${limit.limit()}`);
+    });
+}
+
+const reserveCases = [
+    { name: "a tenth is kept without short work", shortRunning: 0, places: 20, atMs: 0, expected: 18 },
+    { name: "as much as short work has used", shortRunning: 6, places: 20, atMs: 0, expected: 14 },
+    { name: "half at most", shortRunning: 19, places: 20, atMs: 0, expected: 10 },
+    { name: "a peak fades", shortRunning: 6, places: 20, atMs: 60_000, expected: 18 },
+    { name: "long work has one place at least", shortRunning: 1, places: 1, atMs: 0, expected: 1 },
+    { name: "no places, none for long work", shortRunning: 0, places: 0, atMs: 0, expected: 0 },
+];
+for (const { name, shortRunning, places, atMs, expected } of reserveCases) {
+    test(`places for long work: ${name}`, () => {
+        const reserve = makePlaceReserve();
+        reserve.note(shortRunning, 0);
+        assert.is(reserve.longPlaces(places, atMs), expected);
+    });
+}
+
+test("the wait is what is ahead over what drains", () => {
+    const drain = makeDrainRate();
+    assert.is(drain.waitMs(5, 10), 0);
+    drain.learnHold(1_000);
+    assert.is(drain.waitMs(9, 10), 1_000);
+});
+
+test.run();
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 /** Decisions without input or output. Clocks, randomness and rows come in as values; decisions go out as values. */
+export * from "./admission";
 export * from "./config";
 export * from "./evidence";
 export * from "./groups";
--- /dev/null
+++ b/packages/core/src/routing/__tests__/routing.test.ts
@@ -0,0 +1,232 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { placeBudget } from "../../admission";
+import {
+    chooseReplica,
+    type Job,
+    makeDispatcher,
+    makeOutliers,
+    makeReplicaLoad,
+    type Replica,
+    type ReplicaState,
+} from "../index";
+
+const replica = (name: string, extra: Partial<Replica> = {}): Replica => ({
+    replica: name,
+    address: name,
+    availabilityZone: "a",
+    fence: 1,
+    concurrency: 8,
+    ...extra,
+});
+const reported = (running: number, ageMs: number) => ({ reported: { running, waiting: 0, ageMs } });
+
+const part = (limit: number, total?: number, own = 0) => ({
+    limit,
+    recent: total === undefined ? undefined : { total, own },
+});
+const budgetCases = [
+    { name: "an equal part without reports", parts: [part(16), part(16)], peers: 4, expected: 8 },
+    { name: "one place at least", parts: [part(16)], peers: 40, expected: 1 },
+    { name: "none without replicas", parts: [], peers: 4, expected: 0 },
+    {
+        name: "its own, a part of the gap, and a burst while there is room",
+        parts: [part(16, 8, 3)],
+        peers: 4,
+        expected: 7,
+    },
+    { name: "no burst when the replicas are full", parts: [part(16, 16, 4)], peers: 4, expected: 4 },
+    { name: "gives up its part of an excess", parts: [part(16, 24, 4)], peers: 4, expected: 2 },
+    {
+        name: "drifts towards an equal part when the replicas are full",
+        parts: [part(64, 64, 26)],
+        peers: 4,
+        expected: 20,
+    },
+    { name: "keeps half of an equal part however full they are", parts: [part(16, 30, 0)], peers: 4, expected: 2 },
+    { name: "all of it when alone", parts: [part(16, 0), part(8, 0)], peers: 1, expected: 24 },
+];
+for (const { name, parts, peers, expected } of budgetCases) {
+    test(`place budget: ${name}`, () => {
+        assert.is(placeBudget(parts, peers), expected);
+    });
+}
+
+test("old reports are not shared by", () => {
+    const load = makeReplicaLoad();
+    load.update(replica("r", reported(5, 0)), 1_000);
+    assert.equal([load.recent(5_000)?.total, load.recent(5_001)], [5, undefined]);
+});
+
+test("own work begun after a report is not taken off it", () => {
+    const load = makeReplicaLoad();
+    load.count(1, 100);
+    load.count(1, 900);
+    load.update(replica("r", reported(5, 500)), 1_000);
+    assert.equal(load.others(1_000), { count: 4, ageMs: 500 });
+});
+
+const state = (name: string, load: number): ReplicaState => ({ ...replica(name), inFlight: 0, load });
+const choiceCases = [
+    { name: "nothing to choose from", candidates: [], draws: [0], expected: undefined },
+    { name: "the only one", candidates: [state("x", 9)], draws: [0.9], expected: "x" },
+    {
+        name: "the less loaded of the two drawn",
+        candidates: [state("x", 2), state("y", 1), state("z", 0)],
+        draws: [0, 0],
+        expected: "y",
+    },
+    { name: "never the same one twice", candidates: [state("x", 2), state("y", 1)], draws: [0, 0], expected: "y" },
+];
+for (const { name, candidates, draws, expected } of choiceCases) {
+    test(`two choices: ${name}`, () => {
+        let drawn = 0;
+        const chosen = chooseReplica("twoChoices", candidates, () => draws[drawn++]!, 0);
+        assert.is(chosen?.replica, expected);
+    });
+}
+
+type Sample = readonly [string, number | "failed"];
+const usual: readonly Sample[] = [..."abc"].flatMap(name => Array<Sample>(4).fill([name, 30]));
+const slow = (count: number): readonly Sample[] => Array<Sample>(count).fill(["d", 300]);
+const outlierCases: readonly {
+    readonly name: string;
+    readonly samples: readonly Sample[];
+    readonly atMs: number;
+    readonly expected: string;
+}[] = [
+    { name: "a slow one is out", samples: [...usual, ...slow(3)], atMs: 0, expected: "out" },
+    { name: "two slow answers are no proof", samples: [...usual, ...slow(2)], atMs: 0, expected: "in" },
+    {
+        name: "twice as slow is no outlier",
+        samples: [...usual, ...Array<Sample>(9).fill(["d", 60])],
+        atMs: 0,
+        expected: "in",
+    },
+    { name: "one request at a time after a while", samples: [...usual, ...slow(3)], atMs: 10_000, expected: "onTrial" },
+    { name: "failures in a row", samples: Array<Sample>(3).fill(["d", "failed"]), atMs: 0, expected: "out" },
+    {
+        name: "failures with answers between",
+        samples: [["d", "failed"], ["d", "failed"], ["d", 30], ["d", "failed"]],
+        atMs: 0,
+        expected: "in",
+    },
+];
+const note = (outliers: ReturnType<typeof makeOutliers>, [name, pace]: Sample, nowMs: number): void =>
+    pace === "failed" ? outliers.observeFailure(name, nowMs) : outliers.observe(name, pace, nowMs);
+for (const { name, samples, atMs, expected } of outlierCases) {
+    test(`outliers: ${name}`, () => {
+        const outliers = makeOutliers();
+        outliers.keep([..."abcd"]);
+        samples.forEach(sample => note(outliers, sample, 0));
+        assert.is(outliers.standing("d", atMs), expected);
+    });
+}
+
+const trialCases: readonly { readonly name: string; readonly sample: Sample; readonly expected: readonly string[] }[] =
+    [
+        { name: "a good answer lets it back", sample: ["d", 35], expected: ["in", "in"] },
+        { name: "a slow answer keeps it out for twice as long", sample: ["d", 300], expected: ["out", "onTrial"] },
+        { name: "a failure keeps it out for twice as long", sample: ["d", "failed"], expected: ["out", "onTrial"] },
+    ];
+for (const { name, sample, expected } of trialCases) {
+    test(`outlier on trial: ${name}`, () => {
+        const outliers = makeOutliers();
+        outliers.keep([..."abcd"]);
+        [...usual, ...slow(3)].forEach(before => note(outliers, before, 0));
+        note(outliers, sample, 10_000);
+        assert.equal([outliers.standing("d", 29_000), outliers.standing("d", 30_000)], expected);
+    });
+}
+
+test("outliers: at most half are out, whatever fails", () => {
+    const outliers = makeOutliers();
+    outliers.keep([..."abcd"]);
+    [..."abcdabcdabcd"].forEach(name => outliers.observeFailure(name, 0));
+    assert.is([..."abcd"].filter(name => outliers.standing(name, 0) === "out").length, 2);
+});
+
+const job = (id: string, extra: Partial<Job> = {}): Job => ({
+    id,
+    service: "s",
+    workspace: "w",
+    share: 1,
+    workClass: "short",
+    priority: 5,
+    startByMs: 930,
+    avoid: new Set(),
+    ...extra,
+});
+const random = (): number => 0.5;
+const makeFull = (long: number, short: number, admission: "reserved" | "firstCome" = "reserved") => {
+    const dispatcher = makeDispatcher({ availabilityZone: "a", routing: "twoChoices", admission });
+    dispatcher.setReplicas("s", [replica("r", { concurrency: 10 })], 0);
+    Array.from(
+        { length: long },
+        (unused, index) => dispatcher.submit(job(`l${index}`, { workClass: "long" }), 0, random),
+    );
+    Array.from({ length: short }, (unused, index) => dispatcher.submit(job(`s${index}`), 0, random));
+    return dispatcher;
+};
+
+const submissionCases = [
+    {
+        name: "short work finds places behind a flood of long work",
+        given: makeFull(30, 0),
+        offer: job("x"),
+        expected: "started",
+    },
+    { name: "under firstCome it does not", given: makeFull(30, 0, "firstCome"), offer: job("x"), expected: "queued" },
+    {
+        name: "long work waits for short work's places",
+        given: makeFull(9, 0),
+        offer: job("x", { workClass: "long" }),
+        expected: "queued",
+    },
+    { name: "past its deadline", given: makeFull(0, 10), offer: job("x", { startByMs: 0 }), expected: "refused" },
+    {
+        name: "no replica that was not tried",
+        given: makeFull(0, 0),
+        offer: job("x", { avoid: new Set(["r"]) }),
+        expected: "refused",
+    },
+    { name: "no replica at all", given: makeFull(0, 0), offer: job("x", { service: "t" }), expected: "refused" },
+];
+for (const { name, given, offer, expected } of submissionCases) {
+    test(`submission: ${name}`, () => {
+        assert.is(given.submit(offer, 0, random).kind, expected);
+    });
+}
+
+test("what cannot start in half of its time is refused at once, with the time to come back", () => {
+    const dispatcher = makeFull(0, 10);
+    dispatcher.release("s0", 1_000, { kind: "answered", firstTokenMs: 0 });
+    const kinds = Array.from(
+        { length: 8 },
+        (unused, index) => dispatcher.submit(job(`x${index}`, { startByMs: 2_000 }), 1_000, random).kind,
+    );
+    assert.equal(kinds, ["started", "queued", "queued", "queued", "queued", "queued", "refused", "refused"]);
+});
+
+test("a workspace under its share is let in while a large one is refused", () => {
+    const dispatcher = makeFull(0, 10);
+    dispatcher.release("s0", 1_000, { kind: "answered", firstTokenMs: 0 });
+    const offer = (id: string, workspace: string) =>
+        dispatcher.submit(job(id, { workspace, startByMs: 2_000 }), 1_000, random).kind;
+    Array.from({ length: 8 }, (unused, index) => offer(`x${index}`, "large"));
+    assert.is(offer("y", "large"), "refused");
+    assert.is(offer("z", "small"), "queued");
+    dispatcher.release("s1", 1_100);
+    const order = dispatcher.startQueued(1_100, random).map(({ id }) => id);
+    dispatcher.release("s2", 1_200);
+    assert.ok([...order, ...dispatcher.startQueued(1_200, random).map(({ id }) => id)].includes("z"));
+});
+
+test("an answer that outgrows its class gives its short place back", () => {
+    const dispatcher = makeFull(8, 0);
+    assert.is(dispatcher.submit(job("x"), 0, random).kind, "started");
+    dispatcher.outgrow("x");
+    assert.is(dispatcher.submit(job("y", { workClass: "long" }), 0, random).kind, "queued");
+});
+
+test.run();
--- a/packages/core/src/routing/dispatcher.ts
+++ b/packages/core/src/routing/dispatcher.ts
@@ -3,13 +3,17 @@
  *
  * It decides, and does nothing else: time and randomness come in with each call, and what was decided goes out.
  */
-import { chooseReplica, type Replica, type routingPolicies } from "./routingPolicies";
+import { type Account } from "./replicaPool";
+import { type Replica, type routingPolicies } from "./routingPolicies";
+import { makeServiceQueue, type ServiceQueue } from "./serviceQueue";
 
 /** A request that wants a replica. */
 export type Job = {
     readonly id: string;
     readonly service: string;
     readonly workspace: string;
+    /** Weight of the workspace when there is not enough for all. */
+    readonly share: number;
     readonly workClass: "short" | "long";
     readonly priority: number;
     /** The instant by which it must have started. */
@@ -25,12 +29,24 @@
     | { readonly kind: "queued" }
     | { readonly kind: "refused"; readonly code: "noReplica" | "overloaded"; readonly retryAfterMs: number };
 
+/** How many requests of a service all processes may run at once, and how many this one may and does. */
+export type Usage = {
+    readonly limit: number;
+    readonly places: number;
+    readonly short: number;
+    readonly long: number;
+};
+
 export type Dispatcher = {
     /** Replaces a service's replicas; running work on those that are gone is still counted until it is released. */
-    readonly setReplicas: (service: string, replicas: readonly Replica[]) => void;
+    readonly setReplicas: (service: string, replicas: readonly Replica[], nowMs: number) => void;
+    /** How many processes share the replicas, this one included. */
+    readonly setPeers: (peers: number) => void;
     readonly submit: (job: Job, nowMs: number, random: () => number) => Submission;
+    /** Counts a started job as long work from now on. */
+    readonly outgrow: (id: string) => void;
     /** Ends the work of a started job. */
-    readonly release: (id: string) => void;
+    readonly release: (id: string, nowMs: number, account?: Account) => void;
     /** Takes a queued job out. */
     readonly abandon: (id: string) => void;
     /** Starts what can start now. */
@@ -39,115 +55,60 @@
     readonly expire: (nowMs: number) => readonly string[];
     readonly inFlightOf: (replica: string) => number;
     readonly queuedOf: (service: string) => number;
+    readonly usageOf: (service: string, nowMs: number) => Usage;
 };
 
-type Options = {
+export type DispatcherOptions = {
     /** The zone of this process: its replicas go before those of other zones. */
     readonly availabilityZone: string;
     readonly routing: keyof typeof routingPolicies;
     readonly admission: "reserved" | "firstCome";
 };
 
-/** Share of a replica's places that long work cannot take under the `reserved` policy. */
-const reservedShare = 0.25;
-const refusalRetryAfterMs = 1_000;
-
-export function makeDispatcher(options: Options): Dispatcher {
-    const replicasOf = new Map<string, readonly Replica[]>();
-    const started = new Map<string, { readonly replica: string; readonly workClass: Job["workClass"] }>();
-    const inFlight = new Map<string, { total: number; long: number }>();
-    let queue: readonly Job[] = [];
-    let turn = 0;
-
-    const countsOf = (replica: string): { total: number; long: number } =>
-        inFlight.get(replica) ?? { total: 0, long: 0 };
+export function makeDispatcher(options: DispatcherOptions): Dispatcher {
+    const services = new Map<string, ServiceQueue>();
+    const serviceOf = new Map<string, ServiceQueue>();
+    let peers = 1;
 
-    const hasPlace = (replica: Replica, job: Job): boolean => {
-        const { total, long } = countsOf(replica.replica);
-        const longLimit = options.admission === "reserved"
-            ? Math.max(1, Math.floor(replica.concurrency * (1 - reservedShare)))
-            : replica.concurrency;
-        return total < replica.concurrency && (job.workClass === "short" || long < longLimit);
+    const queueOf = (service: string): ServiceQueue => {
+        const known = services.get(service) ?? makeServiceQueue({ ...options, peers: () => peers });
+        services.set(service, known);
+        return known;
     };
-
-    const tryStart = (job: Job, random: () => number): Replica | undefined => {
-        const candidates = (replicasOf.get(job.service) ?? [])
-            .filter(replica => !job.avoid.has(replica.replica) && hasPlace(replica, job))
-            .map(replica => ({ ...replica, inFlight: countsOf(replica.replica).total }));
-        const own = candidates.filter(candidate => candidate.availabilityZone === options.availabilityZone);
-        const chosen = chooseReplica(options.routing, own.length > 0 ? own : candidates, random, turn++);
-        if (chosen !== undefined) {
-            const counts = countsOf(chosen.replica);
-            inFlight.set(chosen.replica, {
-                total: counts.total + 1,
-                long: counts.long + (job.workClass === "long" ? 1 : 0),
-            });
-            started.set(job.id, { replica: chosen.replica, workClass: job.workClass });
-        }
-        return chosen;
+    const settle = (id: string): ServiceQueue | undefined => {
+        const queue = serviceOf.get(id);
+        serviceOf.delete(id);
+        return queue;
     };
 
     return {
-        setReplicas: (service, replicas) => {
-            replicasOf.set(service, replicas);
+        setReplicas: (service, replicas, nowMs) => queueOf(service).pool.set(replicas, nowMs),
+        setPeers: count => {
+            peers = Math.max(1, count);
         },
         submit: (job, nowMs, random) => {
-            const known = (replicasOf.get(job.service) ?? []).filter(replica => !job.avoid.has(replica.replica));
-            if (known.length === 0) {
-                return { kind: "refused", code: "noReplica", retryAfterMs: refusalRetryAfterMs };
-            }
-            const ahead = queue.some(waiting => waiting.service === job.service && comesBefore(waiting, job));
-            const replica = ahead ? undefined : tryStart(job, random);
-            if (replica !== undefined) {
-                return { kind: "started", replica };
-            }
-            if (nowMs >= job.startByMs) {
-                return { kind: "refused", code: "overloaded", retryAfterMs: refusalRetryAfterMs };
+            const queue = queueOf(job.service);
+            const submission = queue.submit(job, nowMs, random);
+            if (submission.kind !== "refused") {
+                serviceOf.set(job.id, queue);
             }
-            const position = queue.findIndex(waiting => !comesBefore(waiting, job));
-            queue = position < 0 ? [...queue, job] : [...queue.slice(0, position), job, ...queue.slice(position)];
-            return { kind: "queued" };
-        },
-        release: id => {
-            const work = started.get(id);
-            if (work === undefined) {
-                return;
-            }
-            started.delete(id);
-            const counts = countsOf(work.replica);
-            inFlight.set(work.replica, {
-                total: counts.total - 1,
-                long: counts.long - (work.workClass === "long" ? 1 : 0),
-            });
+            return submission;
         },
+        outgrow: id => serviceOf.get(id)?.outgrow(id),
+        release: (id, nowMs, account) => settle(id)?.release(id, nowMs, account),
         abandon: id => {
-            queue = queue.filter(job => job.id !== id);
-        },
-        startQueued: (unusedNowMs, random) => {
-            const out: Started[] = [];
-            queue = queue.filter(job => {
-                const replica = tryStart(job, random);
-                if (replica !== undefined) {
-                    out.push({ id: job.id, replica });
-                }
-                return replica === undefined;
-            });
-            return out;
+            if (serviceOf.get(id)?.abandon(id)) {
+                serviceOf.delete(id);
+            }
         },
+        startQueued: (nowMs, random) => [...services.values()].flatMap(queue => queue.startQueued(nowMs, random)),
         expire: nowMs => {
-            const expired = queue.filter(job => nowMs >= job.startByMs);
-            queue = queue.filter(job => nowMs < job.startByMs);
-            return expired.map(job => job.id);
+            const expired = [...services.values()].flatMap(queue => queue.expire(nowMs));
+            expired.forEach(id => serviceOf.delete(id));
+            return expired;
         },
-        inFlightOf: replica => countsOf(replica).total,
-        queuedOf: service => queue.filter(job => job.service === service).length,
+        inFlightOf: replica => [...services.values()].reduce((sum, { pool }) => sum + pool.inFlightOf(replica), 0),
+        usageOf: (service, nowMs) => queueOf(service).usage(nowMs),
+        queuedOf: service => services.get(service)?.size() ?? 0,
     };
 }
-
-/** Whether `waiting` stays before a newcomer: by priority, then short before long, then by arrival. */
-function comesBefore(waiting: Job, newcomer: Job): boolean {
-    if (waiting.priority !== newcomer.priority) {
-        return waiting.priority > newcomer.priority;
-    }
-    return waiting.workClass === newcomer.workClass || waiting.workClass === "short";
-}
--- a/packages/core/src/routing/routingPolicies.ts
+++ b/packages/core/src/routing/routingPolicies.ts
@@ -8,12 +8,18 @@
     readonly availabilityZone: string;
     readonly fence: number;
     readonly concurrency: number;
+    /** The declared time between tokens; without it the concurrency stays as declared. */
+    readonly betweenTokensMs?: number;
     /** Load as last published, with its age. */
     readonly reported?: { readonly running: number; readonly waiting: number; readonly ageMs: number };
 };
 
 /** A replica with what this process knows of it by itself. */
-export type ReplicaState = Replica & { readonly inFlight: number };
+export type ReplicaState = Replica & {
+    readonly inFlight: number;
+    /** Load of all processes as estimated now, as a part of what the replica takes. */
+    readonly load: number;
+};
 
 export type RoutingPolicy = (candidates: readonly ReplicaState[], random: () => number, turn: number) => ReplicaState;
 
@@ -22,16 +28,14 @@
 
 const reportedLoad = (state: ReplicaState): number => (state.reported?.running ?? 0) + (state.reported?.waiting ?? 0);
 
-/** Own work counts at once; reported load counts beyond it, as it holds other processes' work. */
-const combinedLoad = (state: ReplicaState): number => Math.max(state.inFlight, reportedLoad(state)) + state.inFlight;
-
 /** `candidates` is never empty. `random` yields numbers in [0, 1). */
 export const routingPolicies = {
     /** The less loaded of two drawn at random (Mitzenmacher, "The power of two choices in randomized load balancing"). */
     twoChoices: (candidates, random) => {
         const first = pick(candidates, random);
-        const second = pick(candidates, random);
-        return combinedLoad(second) < combinedLoad(first) ? second : first;
+        const others = candidates.filter(candidate => candidate !== first);
+        const second = others.length === 0 ? first : pick(others, random);
+        return second.load < first.load ? second : first;
     },
     random: (candidates, random) => pick(candidates, random),
     roundRobin: (candidates, random, turn) => candidates[turn % candidates.length]!,
--- a/packages/entry/src/callers/chat.ts
+++ b/packages/entry/src/callers/chat.ts
@@ -1,10 +1,10 @@
 /** Chat completions: admission, attempts at replicas, resumption, and a whole answer or a true refusal. */
-import { type Replica } from "@rattanquay/core";
 import { ChatCall, check, headerNames, type ModelService, renderFaults } from "@rattanquay/schema";
 import { randomUUID } from "node:crypto";
+import { type Granted } from "../dispatch";
 import { parseJson, readBody } from "./body";
 import { type Reach } from "./callerDoor";
-import { admitChat } from "./chatAdmission";
+import { admitChat, meterAnswer } from "./chatAdmission";
 import { type Answer, makeStreamedAnswer, makeWholeAnswer } from "./chatAnswer";
 import { attemptChat, type AttemptResult } from "./chatAttempt";
 import { type Conclusion, type Exchange, refuse } from "./exchange";
@@ -61,8 +61,9 @@
         if (grant.kind === "refused") {
             return giveUp(exchange, answer, ran, grant.code, grant.retryAfterMs);
         }
-        const result = await runAttempt(exchange, call, grant.replica, id, answer, reach);
-        reach.dispatch.release(id);
+        const meter = meterAnswer(answer, service, id, reach);
+        const result = await runAttempt(exchange, call, grant, id, meter.answer, reach);
+        reach.dispatch.release(id, meter.account(result));
         reach.surroundings.metrics.attempts.inc({ service: exchange.service, result: result.kind });
         if (result.kind === "whole") {
             return { ending: "answered", code: "ok" };
@@ -85,7 +86,7 @@
 async function runAttempt(
     exchange: Exchange,
     call: ChatCall,
-    replica: Replica,
+    { replica, enginePriority }: Granted,
     attemptId: string,
     answer: Answer,
     { surroundings, dispatch }: Reach,
@@ -102,6 +103,7 @@
             [headerNames.requestId]: exchange.requestId,
             [headerNames.attemptId]: attemptId,
             [headerNames.resumeFrom]: String(answer.tokens()),
+            [headerNames.priority]: String(enginePriority),
         },
         body: JSON.stringify({
             ...call,
--- a/packages/entry/src/dispatch/index.ts
+++ b/packages/entry/src/dispatch/index.ts
@@ -1,2 +1,9 @@
 /** Giving requests to replicas. */
-export { type Dispatch, type Grant, startDispatch } from "./dispatchTask";
+export {
+    type AttemptAccount,
+    type Dispatch,
+    type Grant,
+    type Granted,
+    startDispatch,
+    type Wanted,
+} from "./dispatchTask";
--- a/packages/lab/src/engine/engineStandIn.ts
+++ b/packages/lab/src/engine/engineStandIn.ts
@@ -212,6 +212,7 @@
             sendJson(response, 202, {});
         },
         "POST /v1/chat/completions": chat,
+        "GET /lab/load": (unusedRequest, response) => sendJson(response, 200, batch.load),
         "GET /lab/executions": (unusedRequest, response) => sendJson(response, 200, executions),
         "POST /lab/fault": async (request, response) => {
             setFault(JSON.parse(await readText(request)) as EngineFault);
--- a/packages/lab/src/experiments/index.ts
+++ b/packages/lab/src/experiments/index.ts
@@ -1,8 +1,18 @@
 /** Experiments by name. */
+import { crest } from "./crest";
 import { complainUsage, type Experiment } from "./experiment";
+import { hol } from "./hol";
 import { overhead } from "./overhead";
+import { slowReplica } from "./slowReplica";
+import { staleReports } from "./staleReports";
 
-const experiments: Readonly<Record<string, Experiment>> = { overhead };
+const experiments: Readonly<Record<string, Experiment>> = {
+    crest,
+    hol,
+    overhead,
+    "slow-replica": slowReplica,
+    "stale-reports": staleReports,
+};
 
 /** Runs the experiment that the first argument names and prints its result as the last line. */
 export async function runExperiment(args: readonly string[]): Promise<number> {
--- /dev/null
+++ b/packages/lab/src/load/openLoop.ts
@@ -0,0 +1,52 @@
+/** Open-loop load: each call goes out at its instant, whatever became of those before it. */
+import { sleep, systemTimer } from "@rattanquay/timer";
+import { type ScheduledCall } from "../workload";
+import { callChat, type CallResult } from "./caller";
+
+export type CallRecord = { readonly call: ScheduledCall; readonly result: CallResult; readonly lateMs: number };
+
+type Options = {
+    /** Caller ports of the entry instances. */
+    readonly ports: readonly number[];
+    readonly keyOf: (workspace: string) => string;
+    /** Which entry instance the balancer picks; numbers in [0, 1). */
+    readonly random: () => number;
+    /** Tells request ids of different runs apart. */
+    readonly run: string;
+};
+
+const charactersPerToken = 4;
+
+/** Makes all calls of a schedule and resolves when each has ended. */
+export async function runOpenLoop(
+    schedule: readonly ScheduledCall[],
+    options: Options,
+): Promise<readonly CallRecord[]> {
+    const startMs = systemTimer.nowMs();
+    const pending: Promise<CallRecord>[] = [];
+    for (const [index, call] of schedule.entries()) {
+        const aheadMs = startMs + call.atMs - systemTimer.nowMs();
+        if (aheadMs > 0) {
+            await sleep(systemTimer, aheadMs);
+        }
+        const lateMs = systemTimer.nowMs() - startMs - call.atMs;
+        pending.push(makeCall(call, index, options).then(result => ({ call, result, lateMs })));
+    }
+    return Promise.all(pending);
+}
+
+function makeCall(call: ScheduledCall, index: number, { ports, keyOf, random, run }: Options): Promise<CallResult> {
+    const prompt = `${run} ${index} `;
+    const padding = Math.max(0, call.promptTokens * charactersPerToken - prompt.length - call.systemPrompt.length);
+    return callChat({
+        port: ports[Math.floor(random() * ports.length)]!,
+        key: keyOf(call.workspace),
+        requestId: `${run}-${index}`,
+        messages: [
+            { role: "system", content: call.systemPrompt },
+            { role: "user", content: prompt + "x".repeat(padding) },
+        ],
+        maxTokens: call.maxTokens,
+        length: call.answerTokens,
+    });
+}
--- a/packages/schema/src/ticket.ts
+++ b/packages/schema/src/ticket.ts
@@ -9,6 +9,13 @@
     betweenTokensMs: z.number().positive().default(52),
 });
 
+const LongWork = z.strictObject({
+    /** An answer that is expected to have this many tokens counts as long work. */
+    fromTokens: z.number().int().min(2).default(512),
+    /** The declared time to the first token of long work, which waits behind short work. */
+    firstTokenMs: z.number().positive().default(10_000),
+});
+
 const ModelService = z.strictObject({
     kind: z.literal("model"),
     model: Name,
@@ -27,6 +34,7 @@
     /** A larger number goes first. */
     priority: z.number().int().min(0).max(9).default(5),
     target: Target.prefault({}),
+    longWork: LongWork.prefault({}),
 });
 export type ModelService = z.infer<typeof ModelService>;
 
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -54,6 +54,13 @@
             labelNames: ["service"],
             registers,
         }),
+        places: new Gauge({
+            name: "rattanquay_places",
+            help:
+                "Requests of a service at once: limit of all processes, places of this one, and its short and long ones.",
+            labelNames: ["service", "state"],
+            registers,
+        }),
         replicas: new Gauge({
             name: "rattanquay_replicas",
             help: "Replicas of this zone by service and state.",
