--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,9 +1,11 @@
 /** Decisions without input or output. Clocks, randomness and rows come in as values; decisions go out as values. */
 export * from "./admission";
 export * from "./config";
+export * from "./control";
 export * from "./evidence";
 export * from "./groups";
 export * from "./lease";
+export * from "./membership";
 export * from "./outcomes";
 export * from "./routing";
 export * from "./tickets";
--- a/packages/entry/src/callers/chat.ts
+++ b/packages/entry/src/callers/chat.ts
@@ -2,12 +2,14 @@
 import { ChatCall, check, headerNames, type ModelService, renderFaults } from "@rattanquay/schema";
 import { randomUUID } from "node:crypto";
 import { type Granted } from "../dispatch";
+import { admittedUnlessGone } from "./admitted";
 import { parseJson, readBody } from "./body";
 import { type Reach } from "./callerDoor";
 import { admitChat, meterAnswer } from "./chatAdmission";
 import { type Answer, makeStreamedAnswer, makeWholeAnswer } from "./chatAnswer";
 import { attemptChat, type AttemptResult } from "./chatAttempt";
 import { type Conclusion, type Exchange, refuse } from "./exchange";
+import { spill } from "./spill";
 
 const maxAttempts = 4;
 
@@ -21,7 +23,7 @@
         exchange.response.setHeader("connection", "close");
         return refuse(exchange, body.code);
     }
-    const json = parseJson(body.text);
+    const json = parseJson(body.bytes.toString("utf8"));
     if (json === undefined) {
         return refuse(exchange, "malformedJson");
     }
@@ -57,9 +59,20 @@
     budget.noteFirstAttempt();
     for (let attempt = 1;; attempt++) {
         const id = `${exchange.requestId}/${randomUUID()}`;
-        const grant = await admitChat(exchange, workspace, call, service, id, tried, reach);
+        const grant = await admittedUnlessGone(
+            exchange.response,
+            id,
+            reach.dispatch,
+            () => admitChat(exchange, workspace, call, service, id, tried, reach),
+        );
+        if (grant.kind === "callerGone") {
+            return { ending: ran ? "unknown" : "notRun", code: "callerGone" };
+        }
         if (grant.kind === "refused") {
-            return giveUp(exchange, answer, ran, grant.code, grant.retryAfterMs);
+            const spilled = ran ? undefined : await spill(exchange, call, answer, reach);
+            return spilled === undefined || spilled.kind === "unreached"
+                ? giveUp(exchange, answer, ran, grant.code, grant.retryAfterMs)
+                : concludeSpilled(exchange, answer, spilled);
         }
         const meter = meterAnswer(answer, service, id, reach);
         const result = await runAttempt(exchange, call, grant, id, meter.answer, reach);
@@ -72,8 +85,7 @@
             return { ending: "unknown", code: "callerGone" };
         }
         if (result.kind === "rejected") {
-            answer.passRejection(result.status, result.body);
-            return { ending: "notRun", code: `upstream${result.status}` };
+            return passRejection(answer, result);
         }
         ran ||= result.kind !== "unreached";
         tried.add(grant.replica.replica);
@@ -97,6 +109,7 @@
     const span = surroundings.tracing.startClient("upstream chat", exchange.span);
     span.setAttributes({ replica: replica.replica, address: replica.address, attemptId, resumeFrom: answer.tokens() });
     const result = await attemptChat({
+        attemptId,
         address: replica.address,
         headers: {
             ...surroundings.tracing.headersOf(span),
@@ -105,11 +118,11 @@
             [headerNames.resumeFrom]: String(answer.tokens()),
             [headerNames.priority]: String(enginePriority),
         },
-        body: JSON.stringify({
+        call: {
             ...call,
             model: replica.replica,
             ...(answer.tokens() > 0 ? { continue_from: { text: answer.text() } } : {}),
-        }),
+        },
         answer,
         limits: surroundings.settings.limits,
         timer: surroundings.timer,
@@ -120,6 +133,32 @@
     return result;
 }
 
+/** How a request ends that another zone has taken on. It may have run there, whatever went wrong. */
+function concludeSpilled(exchange: Exchange, answer: Answer, result: AttemptResult): Conclusion {
+    if (result.kind === "whole") {
+        return { ending: "answered", code: "spilled" };
+    }
+    if (result.kind === "callerGone") {
+        return { ending: "unknown", code: "callerGone" };
+    }
+    if (result.kind === "rejected") {
+        return passRejection(answer, result);
+    }
+    return giveUp(exchange, answer, true, "upstreamFailed");
+}
+
+type Rejection = Extract<AttemptResult, { readonly kind: "rejected" }>;
+
+/** The upstream's own word on the request is its answer, unless a part of another attempt's has gone out already. */
+function passRejection(answer: Answer, { status, body }: Rejection): Conclusion {
+    if (answer.begun()) {
+        answer.breakOff("upstreamFailed");
+        return { ending: "unknown", code: "upstreamFailed" };
+    }
+    answer.passRejection(status, body);
+    return { ending: "answered", code: `upstream${status}` };
+}
+
 function giveUp(
     exchange: Exchange,
     answer: Answer,
--- a/packages/entry/src/callers/chatAdmission.ts
+++ b/packages/entry/src/callers/chatAdmission.ts
@@ -63,9 +63,7 @@
     let firstAtMs: number | undefined;
     let lastAtMs = startedAtMs;
 
-    const take: Answer["take"] = (chunk, data) => {
-        const known = answer.tokens();
-        const taken = answer.take(chunk, data);
+    const note = (known: number): void => {
         const tokens = answer.tokens();
         if (tokens > known) {
             lastAtMs = timer.nowMs();
@@ -74,7 +72,19 @@
                 dispatch.outgrow(id);
             }
         }
-        return taken;
+    };
+
+    const expect: Answer["expect"] = attemptId => {
+        const sink = answer.expect(attemptId);
+        return {
+            ...sink,
+            take: (chunk, data, isFinishing) => {
+                const known = answer.tokens();
+                const taken = sink.take(chunk, data, isFinishing);
+                note(known);
+                return taken;
+            },
+        };
     };
 
     const account = (result: AttemptResult): AttemptAccount => {
@@ -90,7 +100,7 @@
             ...(taken < 2 ? {} : { betweenTokensMs: (lastAtMs - firstAtMs) / (taken - 1) }),
         };
     };
-    return { answer: { ...answer, take }, account };
+    return { answer: { ...answer, expect }, account };
 }
 
 /** Results that speak against the replica. */
--- a/packages/entry/src/operators/operatorDoor.ts
+++ b/packages/entry/src/operators/operatorDoor.ts
@@ -4,21 +4,27 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { parseJson, readBody } from "../callers/body";
 import { type Configuration } from "../config";
+import { watchConnections } from "../connections";
 import { type Control } from "../control";
 import { type Fleet } from "../fleet";
 import { bearerKey, hashKey } from "../keys";
 import { openListener, portOf } from "../listener";
+import { type Peers } from "../peers";
 import { type Surroundings } from "../surroundings";
-import { listTickets, readTicket, submitTicket } from "../tickets";
+import { type Accepted, listTickets, readTicket, submitTicket } from "../tickets";
+import { configInForce } from "./configInForce";
 import { statusOf } from "./status";
+import { answerTicketStatus } from "./ticketStatus";
 
 export type OperatorDoor = { readonly port: number; readonly close: () => void };
 
 type Parts = {
     readonly surroundings: Surroundings;
     readonly configuration: Feed<Configuration>;
+    readonly applyAccepted: (acceptance: Accepted) => void;
     readonly fleet: Fleet;
     readonly control: Control;
+    readonly peers: Peers;
     readonly isReady: () => boolean;
 };
 
@@ -30,14 +36,23 @@
     accepted: 200,
     numberTaken: 409,
     overtaken: 409,
+    tooOld: 409,
     unavailable: 503,
 };
 
 const handlers: Readonly<Record<string, Handler>> = {
-    "GET /v1/status": async (unusedRequest, unusedPath, { surroundings, configuration, fleet, control }) => ({
+    "GET /v1/status": async (unusedRequest, unusedPath, { surroundings, configuration, fleet, peers, control }) => ({
         status: 200,
-        body: statusOf(surroundings, configuration.latest(), fleet.feed.latest(), { holdsLease: control.holdsLease() }),
+        body: statusOf(surroundings, configuration.latest(), fleet.feed.latest(), peers.feed.latest(), {
+            holdsLease: control.holdsLease(),
+        }),
     }),
+    "GET /v1/config": async (unusedRequest, unusedPath, { surroundings, configuration }) => ({
+        status: 200,
+        body: configInForce(surroundings, configuration.latest()),
+    }),
+    "GET /v1/tickets/N/status": async (unusedRequest, path, { surroundings, peers }) =>
+        answerTicketStatus(surroundings.table, peers, Number(path.split("/")[3])),
     "GET /v1/tickets": async (unusedRequest, unusedPath, { surroundings }) => {
         const outcome = await listTickets(surroundings.table);
         return outcome.kind === "done" ? { status: 200, body: outcome.value } : platformDown();
@@ -59,13 +74,8 @@
     const server = await openListener(parts.surroundings.settings.listeners.operators, (request, response) => {
         serve(request, response, parts).catch(error => parts.surroundings.onBroken("operatorDoor", error));
     });
-    return {
-        port: portOf(server),
-        close: () => {
-            server.close();
-            server.closeAllConnections();
-        },
-    };
+    const connections = watchConnections(server, "operators", parts.surroundings);
+    return { port: portOf(server), close: connections.close };
 }
 
 async function serve(request: IncomingMessage, response: ServerResponse, parts: Parts): Promise<void> {
@@ -102,16 +112,21 @@
         return { status: 401, body: problem("No operator has this key. Send it as 'Authorization: Bearer KEY'.") };
     }
     const handler = handlers[`${request.method} ${path}`]
+        ?? handlers[`${request.method} ${path.replace(/\/\d+\/status$/, "/N/status")}`]
         ?? handlers[`${request.method} ${path.replace(/[^/]+$/, "")}`];
     return handler === undefined
         ? { status: 404, body: problem(`There is nothing at ${path}.`) }
         : handler(request, path, parts);
 }
 
-async function submit(request: IncomingMessage, unusedPath: string, { surroundings }: Parts): Promise<Answer> {
+async function submit(
+    request: IncomingMessage,
+    unusedPath: string,
+    { surroundings, applyAccepted }: Parts,
+): Promise<Answer> {
     const { settings, timer, table, log } = surroundings;
     const body = await readBody(request, settings.limits, timer);
-    const json = body.kind === "read" ? parseJson(body.text) : undefined;
+    const json = body.kind === "read" ? parseJson(body.bytes.toString("utf8")) : undefined;
     if (json === undefined) {
         return { status: 400, body: problem("The ticket is not valid JSON.") };
     }
@@ -119,7 +134,7 @@
     if (checked.kind === "invalid") {
         return { status: 400, body: problem(renderFaults(checked.faults)) };
     }
-    const verdict = await submitTicket(table, checked.value);
+    const verdict = await submitTicket(table, checked.value, applyAccepted);
     log.info("ticketJudged", { ...verdict, kind: undefined, verdict: verdict.kind });
     return { status: statusOfVerdict[verdict.kind], body: verdict };
 }
--- a/packages/lab/src/cluster/processCluster.ts
+++ b/packages/lab/src/cluster/processCluster.ts
@@ -3,9 +3,21 @@
 import { closeSync, mkdirSync, mkdtempSync, openSync, writeFileSync } from "node:fs";
 import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
-import { basename, dirname, join } from "node:path";
+import { join } from "node:path";
+import { control } from "../httpServer";
+import { makeNetwork, type Network } from "../link";
 import { submit, untilServing } from "./clusterClient";
-import { type ClusterSpec, enginePlaces, entryNames, type EntryPorts, settingsFor, ticketFor } from "./clusterSpec";
+import {
+    type Advertised,
+    type ClusterSpec,
+    enginePlaces,
+    entryNames,
+    type EntryPorts,
+    settingsFor,
+    ticketFor,
+    zoneNames,
+} from "./clusterSpec";
+import { programsFolder } from "./programsFolder";
 import { until } from "./until";
 
 export type Member = { readonly name: string; readonly port: number; readonly child: ChildProcess };
@@ -15,23 +27,26 @@
     readonly folder: string;
     readonly platform: Member;
     readonly engines: readonly Member[];
-    readonly services: readonly Member[];
+    readonly services: Member[];
     readonly entries: EntryMember[];
+    /** Starts a service again under its old name and port. */
+    readonly restartService: (name: string) => Promise<void>;
+    /** Files in which the engines and services note what they run, when the spec asks for them. */
+    readonly journals: () => readonly string[];
+    /** Starts a further lab program; it ends with the cluster. */
+    readonly startLab: (name: string, args: readonly string[]) => Promise<Member>;
     /** Starts an entry instance again under its old name and ports. */
     readonly restartEntry: (name: string) => Promise<void>;
+    /** The ways that can be cut, when the spec asks for them. */
+    readonly network: Network | undefined;
     readonly stop: () => Promise<void>;
 };
 
 const startTimeoutMs = 20_000;
+const maxSeeds = 6;
 const serveTimeoutMs = 30_000;
 const entryEnvironment = { AWS_ACCESS_KEY_ID: "lab", AWS_SECRET_ACCESS_KEY: "lab" };
 
-/** Where the bundled programs are: beside the lab's own bundle, or in `dist`. */
-function programsFolder(): string {
-    const own = process.argv[1] ?? "";
-    return basename(own) === "rattanquay-lab.cjs" ? dirname(own) : "dist";
-}
-
 /** A port that was free a moment ago. */
 async function freePort(): Promise<number> {
     const server = createServer();
@@ -71,13 +86,14 @@
         return child;
     };
 
-    const runLab = async (name: string, args: readonly string[], probe: string): Promise<Member> => {
-        const port = await freePort();
+    const runLab = async (name: string, args: readonly string[], probe: string, at?: number): Promise<Member> => {
+        const port = at ?? await freePort();
         const child = run(name, "rattanquay-lab.cjs", [...args, "--port", String(port)]);
         await until(`${name} to listen`, startTimeoutMs, () => isUp(port, probe));
         return { name, port, child };
     };
 
+    const journalOf = (name: string): string => join(folder, `${name}.jsonl`);
     const platformArgs = ["platform", "--list-lag-ms", String(spec.listLagMs)];
     const rateArgs = spec.weightBytesPerSecond === undefined
         ? []
@@ -88,29 +104,61 @@
             runLab(place.instance, [
                 "engine",
                 "--options",
-                JSON.stringify({ ...spec.engine, ...place, platformPort: platform.port }),
+                JSON.stringify({
+                    ...spec.engine,
+                    ...place,
+                    platformPort: platform.port,
+                    ...(spec.journals ? { journal: journalOf(place.instance) } : {}),
+                }),
             ], "/health")
         ),
     );
+    const runService = (name: string, at?: number): Promise<Member> => {
+        const journalArgs = spec.journals ? ["--journal", journalOf(name)] : [];
+        return runLab(name, ["service", "--name", name, ...journalArgs], "/lab/bookings", at);
+    };
     const services = await Promise.all(
         Array.from(
             { length: spec.services },
-            (unused, index) => runLab(`service-${index}`, ["service"], "/lab/bookings"),
+            (unused, index) => runService(`service-${index}`),
+        ),
+    );
+
+    const network = spec.cuttable ? makeNetwork(zoneNames) : undefined;
+    const platformPorts = new Map(
+        await Promise.all(
+            zoneNames.map(async zone =>
+                [zone as string, await network?.platformWay(zone, platform.port) ?? platform.port] as const
+            ),
         ),
     );
+    const waysTo = new Map<string, Advertised>();
+
+    const advertise = async (id: string, zone: string, ports: EntryPorts): Promise<Advertised> => {
+        const known = waysTo.get(id) ?? {
+            address: network?.addressOf(zone) ?? "127.0.0.1",
+            callers: await network?.wayTo(zone, ports.callers) ?? ports.callers,
+            peers: await network?.wayTo(zone, ports.peers) ?? ports.peers,
+        };
+        waysTo.set(id, known);
+        return known;
+    };
 
     const startEntry = async (id: string, availabilityZone: string, ports: EntryPorts): Promise<EntryMember> => {
         const file = join(folder, `${id}.json`);
-        writeFileSync(
-            file,
-            JSON.stringify(
-                settingsFor(spec, { id, availabilityZone, platformPort: platform.port, ports }),
-                undefined,
-                4,
-            ),
-        );
+        const advertised = await advertise(id, availabilityZone, ports);
+        const seeds = [...waysTo.values()].map(({ address, peers }) => `${address}:${peers}`).slice(0, maxSeeds);
+        const platformPort = platformPorts.get(availabilityZone)!;
+        const settings = settingsFor(spec, { id, availabilityZone, platformPort, ports, advertised, seeds });
+        writeFileSync(file, JSON.stringify(settings, undefined, 4));
         const child = run(id, "rattanquay.cjs", ["serve", "--settings", file]);
         await until(`${id} to listen`, startTimeoutMs, () => isUp(ports.operators, "/healthz"));
+        await control(platform.port, "/lab/entries", {
+            process: id,
+            availabilityZone,
+            peerAddress: `${advertised.address}:${advertised.peers}`,
+            callerAddress: `${advertised.address}:${advertised.callers}`,
+        });
         return { name: id, port: ports.callers, child, availabilityZone, ports };
     };
 
@@ -129,6 +177,13 @@
         engines,
         services,
         entries,
+        network,
+        startLab: (name, args) => runLab(name, args, "/"),
+        journals: () => [...engines, ...services].map(member => journalOf(member.name)),
+        restartService: async name => {
+            const index = services.findIndex(service => service.name === name);
+            services[index] = await runService(name, services[index]!.port);
+        },
         restartEntry: async name => {
             const index = entries.findIndex(entry => entry.name === name);
             const { availabilityZone, ports } = entries[index]!;
@@ -136,6 +191,7 @@
         },
         stop: async () => {
             killAll();
+            network?.close();
             process.off("exit", killAll);
         },
     };
--- a/packages/lab/src/experiments/index.ts
+++ b/packages/lab/src/experiments/index.ts
@@ -3,6 +3,7 @@
 import { complainUsage, type Experiment } from "./experiment";
 import { hol } from "./hol";
 import { overhead } from "./overhead";
+import { slopes } from "./slopes";
 import { slowReplica } from "./slowReplica";
 import { staleReports } from "./staleReports";
 
@@ -10,6 +11,7 @@
     crest,
     hol,
     overhead,
+    slopes,
     "slow-replica": slowReplica,
     "stale-reports": staleReports,
 };
