--- a/packages/lab/src/engine/engineStandIn.ts
+++ b/packages/lab/src/engine/engineStandIn.ts
@@ -40,6 +40,7 @@
     readonly info: () => ServerInfo;
     readonly assignment: AssignmentHolder;
     readonly completions: Completions;
+    readonly load: () => Batch["load"];
     readonly setFault: (fault: EngineFault) => void;
 };
 
@@ -75,7 +76,7 @@
         const load = { running, waiting, ageMs: systemTimer.nowMs() - atMs };
         return accountOf(options.instance, bootId, assignment, load);
     };
-    const routes = makeRoutes({ info, assignment, completions, setFault });
+    const routes = makeRoutes({ info, assignment, completions, load: () => batch.load, setFault });
     const { server, port } = await listen(options.port ?? 0, (request, response, path) => {
         if (muted && !path.startsWith("/lab/")) {
             return;
@@ -124,7 +125,7 @@
     };
 }
 
-function makeRoutes({ info, assignment, completions, setFault }: Parts): Readonly<Record<string, Route>> {
+function makeRoutes({ info, assignment, completions, load, setFault }: Parts): Readonly<Record<string, Route>> {
     return {
         "GET /server_info": (unusedRequest, response) => sendJson(response, 200, info()),
         "GET /health": (unusedRequest, response) =>
@@ -147,6 +148,7 @@
             }
             completions.start(request, response, call, held.group);
         },
+        "GET /lab/load": (unusedRequest, response) => sendJson(response, 200, load()),
         "GET /lab/executions": (unusedRequest, response) => sendJson(response, 200, completions.executions()),
         "POST /lab/fault": async (request, response) => {
             setFault(JSON.parse(await readText(request)) as EngineFault);
--- a/packages/lab/src/experiments/index.ts
+++ b/packages/lab/src/experiments/index.ts
@@ -1,11 +1,24 @@
 /** Experiments by name. */
+import { crest } from "./crest";
 import { cut } from "./cut";
 import { complainUsage, type Experiment } from "./experiment";
+import { hol } from "./hol";
 import { outcomes } from "./outcomes";
 import { overhead } from "./overhead";
 import { slopes } from "./slopes";
+import { slowReplica } from "./slowReplica";
+import { staleReports } from "./staleReports";
 
-const experiments: Readonly<Record<string, Experiment>> = { cut, outcomes, overhead, slopes };
+const experiments: Readonly<Record<string, Experiment>> = {
+    crest,
+    cut,
+    hol,
+    outcomes,
+    overhead,
+    slopes,
+    "slow-replica": slowReplica,
+    "stale-reports": staleReports,
+};
 
 /** Runs the experiment that the first argument names and prints its result as the last line. */
 export async function runExperiment(args: readonly string[]): Promise<number> {
