--- a/packages/cli/src/__tests__/reference.test.ts
+++ b/packages/cli/src/__tests__/reference.test.ts
@@ -1,5 +1,5 @@
 /** The reference pages and the program agree, both ways. */
-import { callerErrors, Settings } from "@rattanquay/schema";
+import { callerErrors, Settings, Ticket } from "@rattanquay/schema";
 import { makeMetrics } from "@rattanquay/telemetry";
 import { readdirSync, readFileSync } from "node:fs";
 import { test } from "uvu";
@@ -7,6 +7,7 @@
 import { z } from "zod";
 import { commands } from "../commands";
 import { exitCodes } from "../exitCodes";
+import { readJsonFile } from "../jsonFile";
 
 const page = (name: string): string => readFileSync(`docs/reference/${name}.md`, "utf8");
 
@@ -78,6 +79,15 @@
     });
 }
 
+const examples = [
+    { file: "docs/examples/settings.json", schema: Settings },
+    { file: "docs/examples/ticket-1.json", schema: Ticket },
+];
+
+for (const { file, schema } of examples) {
+    test(`${file} is valid`, () => assert.is(readJsonFile(file, schema).kind, "valid"));
+}
+
 test("the exit codes stand in docs/reference/commands.md", () => {
     const documented = [...page("commands").matchAll(/^\| (\d+) \|/gm)].map(match => Number(match[1]));
     assert.equal(documented, Object.values(exitCodes));
--- a/packages/entry/src/operators/status.ts
+++ b/packages/entry/src/operators/status.ts
@@ -30,8 +30,10 @@
             declared: declared.kind === "model"
                 ? declared.replicas[settings.process.availabilityZone] ?? 0
                 : declared.upstreams.length,
-            serving:
-                zone.groups.filter(group =>
+            // Upstreams of plain services are not probed: each that is declared is in use.
+            serving: declared.kind === "plain"
+                ? declared.upstreams.length
+                : zone.groups.filter(group =>
                     group.service === service && zone.standings.get(group.group)?.kind === "serving"
                 ).length,
         })),
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -19,7 +19,11 @@
         // Its UMD entry requires its own files in a way that no bundler can follow.
         alias: { "jsonc-parser": "./node_modules/jsonc-parser/lib/esm/main.js" },
         logLevel: "error",
-        define: { "process.env.RATTANQUAY_VERSION": JSON.stringify(version) },
+        define: {
+            "process.env.RATTANQUAY_VERSION": JSON.stringify(version),
+            // A single file carries no native module, and the search for one would print a warning.
+            "process.env.CBOR_NATIVE_ACCELERATION_DISABLED": JSON.stringify("true"),
+        },
     });
 
 const makeBinary = () => {
