--- a/packages/lab/src/runLabCommand.ts
+++ b/packages/lab/src/runLabCommand.ts
@@ -4,6 +4,7 @@
 import { demo } from "./demo";
 import { type EngineOptions, type InstanceSwarmOptions, startEngine, startInstanceSwarm } from "./engine";
 import { runExperiment } from "./experiments";
+import { faultUsage, runFault } from "./fault";
 import { listen, sendJson } from "./httpServer";
 import { startPipe } from "./pipe";
 import { startPlatform } from "./platform";
@@ -19,6 +20,7 @@
     pipe: { usage: "pipe --port N --to HOST:PORT[,…]", run: runPipe },
     instances: { usage: "instances --port N --options JSON", run: runInstances },
     entries: { usage: "entries --port N --options JSON", run: runEntries },
+    fault: { usage: faultUsage, run: runFault },
     experiment: {
         usage: "experiment NAME [--seed N] [--workload FILE] [--policy NAME] [--seconds N] [--json]",
         run: runExperiment,
