Send a workload's calls from the lab's command line

Cause: the workload file was read by experiments alone; there was no way to load a system that already runs. Change: rattanquay-lab load over the workload's schedule and the open loop that the experiments use. Conclusion: load and fault together let a person try what the experiments measure.

--- a/packages/lab/src/load/index.ts
+++ b/packages/lab/src/load/index.ts
@@ -3,3 +3,4 @@
 export { callFlood, type FloodCall } from "./floodCaller";
 export { type CallRecord, runOpenLoop } from "./openLoop";
 export { makeRecorder, type Recorder } from "./recorder";
+export { loadUsage, runLoad } from "./runLoad";
--- a/packages/lab/src/load/openLoop.ts
+++ b/packages/lab/src/load/openLoop.ts
@@ -13,6 +13,8 @@
     readonly random: () => number;
     /** Tells request ids of different runs apart. */
     readonly run: string;
+    /** The service to call; the lab's own by default. */
+    readonly model?: string;
 };
 
 const charactersPerToken = 4;
@@ -35,13 +37,18 @@
     return Promise.all(pending);
 }
 
-function makeCall(call: ScheduledCall, index: number, { ports, keyOf, random, run }: Options): Promise<CallResult> {
+function makeCall(
+    call: ScheduledCall,
+    index: number,
+    { ports, keyOf, random, run, model }: Options,
+): Promise<CallResult> {
     const prompt = `${run} ${index} `;
     const padding = Math.max(0, call.promptTokens * charactersPerToken - prompt.length - call.systemPrompt.length);
     return callChat({
         port: ports[Math.floor(random() * ports.length)]!,
         key: keyOf(call.workspace),
         requestId: `${run}-${index}`,
+        ...(model === undefined ? {} : { model }),
         messages: [
             { role: "system", content: call.systemPrompt },
             { role: "user", content: prompt + "x".repeat(padding) },
--- /dev/null
+++ b/packages/lab/src/load/runLoad.ts
@@ -0,0 +1,73 @@
+import { check, renderFaults } from "@rattanquay/schema";
+import { build } from "hdr-histogram-js";
+import { readFileSync } from "node:fs";
+import { parseArgs } from "node:util";
+import { callerKey } from "../cluster/clusterSpec";
+import { makeSchedule, seededRandom, Workload } from "../workload";
+import { type CallRecord, runOpenLoop } from "./openLoop";
+
+export const loadUsage =
+    "load --workload FILE --port N[,N…] [--seed N] [--seconds N] [--capacity CALLS_PER_SECOND] [--model NAME] [--key WORKSPACE=KEY]…";
+
+const options = {
+    workload: { type: "string" },
+    port: { type: "string" },
+    seed: { type: "string", default: "1" },
+    seconds: { type: "string", default: "60" },
+    capacity: { type: "string", default: "0" },
+    model: { type: "string", default: "assistant" },
+    key: { type: "string", multiple: true, default: [] as string[] },
+    json: { type: "boolean", default: false },
+} as const;
+
+/**
+ * Sends a workload's calls to entry instances that already run, and prints what came of them as one JSON line.
+ *
+ * Shares of capacity in the workload refer to `--capacity`, which only the person who runs the system knows.
+ */
+export async function runLoad(args: readonly string[]): Promise<number> {
+    const { values } = parseArgs({ args: [...args], options });
+    if (values.workload === undefined || values.port === undefined) {
+        process.stderr.write(`Usage: rattanquay-lab ${loadUsage}\n`);
+        return 2;
+    }
+    const checked = check(Workload, JSON.parse(readFileSync(values.workload, "utf8")));
+    if (checked.kind === "invalid") {
+        process.stderr.write(`${values.workload} is not a workload:\n${renderFaults(checked.faults)}\n`);
+        return 2;
+    }
+    const seed = Number(values.seed);
+    const schedule = makeSchedule(checked.value, {
+        seed,
+        seconds: Number(values.seconds),
+        capacityPerSecond: Number(values.capacity),
+    });
+    const keys = new Map(values.key.map(pair => pair.split("=") as [string, string]));
+    const records = await runOpenLoop(schedule, {
+        ports: values.port.split(",").map(Number),
+        keyOf: workspace => keys.get(workspace) ?? callerKey,
+        random: seededRandom(seed + 1),
+        run: `load-${seed}`,
+        model: values.model,
+    });
+    process.stdout.write(
+        `${JSON.stringify({ experiment: "load", seed, policies: { asRun: figuresOf(records) } })}\n`,
+    );
+    return 0;
+}
+
+function figuresOf(records: readonly CallRecord[]): Readonly<Record<string, number>> {
+    const count = (matches: (record: CallRecord) => boolean): number => records.filter(matches).length;
+    const first = build();
+    records.forEach(({ result }) => result.firstTokenMs === undefined || first.recordValue(result.firstTokenMs));
+    return {
+        sentCalls: records.length,
+        wholeCalls: count(({ result }) => result.whole),
+        notRunCalls: count(({ result }) => result.outcome === "notRun"),
+        unknownCalls: count(({ result }) => result.outcome === "unknown"),
+        unansweredCalls: count(({ result }) => result.outcome === "none"),
+        firstTokenP50Ms: first.getValueAtPercentile(50),
+        firstTokenP95Ms: first.getValueAtPercentile(95),
+        callerLatenessMaxMs: Math.round(Math.max(0, ...records.map(({ lateMs }) => lateMs))),
+    };
+}
--- a/packages/lab/src/runLabCommand.ts
+++ b/packages/lab/src/runLabCommand.ts
@@ -6,6 +6,7 @@
 import { runExperiment } from "./experiments";
 import { faultUsage, runFault } from "./fault";
 import { listen, sendJson } from "./httpServer";
+import { loadUsage, runLoad } from "./load";
 import { startPipe } from "./pipe";
 import { startPlatform } from "./platform";
 import { startService } from "./service";
@@ -20,6 +21,7 @@
     pipe: { usage: "pipe --port N --to HOST:PORT[,…]", run: runPipe },
     instances: { usage: "instances --port N --options JSON", run: runInstances },
     entries: { usage: "entries --port N --options JSON", run: runEntries },
+    load: { usage: loadUsage, run: runLoad },
     fault: { usage: faultUsage, run: runFault },
     experiment: {
         usage: "experiment NAME [--seed N] [--workload FILE] [--policy NAME] [--seconds N] [--json]",
