--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -8,8 +8,14 @@
 export function makeMetrics() {
     const registry = new Registry();
     const registers = [registry];
+    return { registry, ...requestMetrics(registers), ...processMetrics(registers) };
+}
+
+export type Metrics = ReturnType<typeof makeMetrics>;
+
+/** What becomes of requests. */
+function requestMetrics(registers: Registry[]) {
     return {
-        registry,
         requests: new Counter({
             name: "rattanquay_requests_total",
             help: "Requests by service and how they ended.",
@@ -73,6 +79,12 @@
             labelNames: ["listener", "kind"],
             registers,
         }),
+    };
+}
+
+/** What the process knows and what its control costs. */
+function processMetrics(registers: Registry[]) {
+    return {
         configRevision: new Gauge({
             name: "rattanquay_config_revision",
             help: "The configuration revision in force here.",
@@ -108,5 +120,3 @@
         }),
     };
 }
-
-export type Metrics = ReturnType<typeof makeMetrics>;
