Part the lab's caller: what it asks, what it reads, what it reports

Change: body, reading and result are functions of their own; the engine stand-in also tells its load of this instant.

--- a/packages/lab/src/engine/engineStandIn.ts
+++ b/packages/lab/src/engine/engineStandIn.ts
@@ -38,6 +38,8 @@
 /** What the routes of one instance share. */
 type Parts = {
     readonly info: () => ServerInfo;
+    /** The load of this instant, which no router is told. */
+    readonly load: () => Batch["load"];
     readonly assignment: AssignmentHolder;
     readonly completions: Completions;
     readonly setFault: (fault: EngineFault) => void;
@@ -75,7 +77,7 @@
         const load = { running, waiting, ageMs: systemTimer.nowMs() - atMs };
         return accountOf(options.instance, bootId, assignment, load);
     };
-    const routes = makeRoutes({ info, assignment, completions, setFault });
+    const routes = makeRoutes({ info, load: () => batch.load, assignment, completions, setFault });
     const { server, port } = await listen(options.port ?? 0, (request, response, path) => {
         if (muted && !path.startsWith("/lab/")) {
             return;
@@ -124,7 +126,7 @@
     };
 }
 
-function makeRoutes({ info, assignment, completions, setFault }: Parts): Readonly<Record<string, Route>> {
+function makeRoutes({ info, load, assignment, completions, setFault }: Parts): Readonly<Record<string, Route>> {
     return {
         "GET /server_info": (unusedRequest, response) => sendJson(response, 200, info()),
         "GET /health": (unusedRequest, response) =>
@@ -147,6 +149,7 @@
             }
             completions.start(request, response, call, held.group);
         },
+        "GET /lab/load": (unusedRequest, response) => sendJson(response, 200, load()),
         "GET /lab/executions": (unusedRequest, response) => sendJson(response, 200, completions.executions()),
         "POST /lab/fault": async (request, response) => {
             setFault(JSON.parse(await readText(request)) as EngineFault);
--- a/packages/lab/src/load/caller.ts
+++ b/packages/lab/src/load/caller.ts
@@ -43,60 +43,10 @@
 /** Makes a streamed chat completion; never rejects. */
 export function callChat(call: ChatRequest): Promise<CallResult> {
     const startMs = systemTimer.nowMs();
-    const body = JSON.stringify({
-        model: call.model ?? "assistant",
-        messages: call.messages,
-        stream: true,
-        max_tokens: call.maxTokens,
-        ...(call.length === undefined ? {} : { lab_length: call.length }),
-    });
+    const heard: Heard = { status: 0, headers: {}, raw: "" };
+    const reading = readAnswer(call.onToken);
     return new Promise(resolve => {
-        const parts: string[] = [];
-        let firstAtMs: number | undefined;
-        let lastAtMs = startMs;
-        let done = false;
-        let finishSeen = false;
-        let errorCode: string | undefined;
-        let status = 0;
-        let headers: Headers = {};
-        let raw = "";
-        const finish = (): void => {
-            const totalMs = systemTimer.nowMs() - startMs;
-            resolve({
-                status,
-                requestId: headers["x-request-id"] as string | undefined,
-                text: parts.join(""),
-                tokens: parts.length,
-                whole: done && finishSeen && errorCode === undefined,
-                endedCleanly: done && errorCode === undefined,
-                outcome: chatOutcome(status, headers, done && errorCode === undefined),
-                errorCode: errorCode ?? (status === 200 ? undefined : codeOf(raw)),
-                retryAfter: headers["retry-after"] as string | undefined,
-                firstTokenMs: firstAtMs === undefined ? undefined : firstAtMs - startMs,
-                betweenTokensMs: firstAtMs === undefined || parts.length < 2
-                    ? undefined
-                    : (lastAtMs - firstAtMs) / (parts.length - 1),
-                totalMs,
-            });
-        };
-        const parser = createParser({
-            onEvent: ({ data }) => {
-                if (data === "[DONE]") {
-                    done = true;
-                    return;
-                }
-                const event = JSON.parse(data) as StreamEvent;
-                errorCode ??= event.error?.code;
-                finishSeen ||= typeof event.choices?.[0]?.finish_reason === "string";
-                const content = event.choices?.[0]?.delta?.content;
-                if (content !== undefined && content !== "") {
-                    lastAtMs = systemTimer.nowMs();
-                    firstAtMs ??= lastAtMs;
-                    parts.push(content);
-                    call.onToken?.(parts.length);
-                }
-            },
-        });
+        const finish = (): void => resolve(resultOf(heard, reading.progress, startMs));
         const request = httpRequest(`http://127.0.0.1:${call.port}/v1/chat/completions`, {
             method: "POST",
             agent,
@@ -108,18 +58,97 @@
             },
             signal: AbortSignal.timeout(callTimeoutMs),
         }, response => {
-            status = response.statusCode ?? 0;
-            headers = response.headers;
+            heard.status = response.statusCode ?? 0;
+            heard.headers = response.headers;
             response.setEncoding("utf8");
-            response.on("data", (text: string) => status === 200 ? parser.feed(text) : raw += text);
+            response.on("data", (text: string) => {
+                if (heard.status === 200) {
+                    reading.feed(text);
+                    return;
+                }
+                heard.raw += text;
+            });
             response.on("close", finish);
             response.on("error", () => undefined);
         });
         request.on("error", finish);
-        request.end(body);
+        request.end(bodyOf(call));
     });
 }
 
+type Heard = { status: number; headers: Headers; raw: string };
+
+/** What a stream has brought so far. */
+type Progress = {
+    readonly parts: string[];
+    firstAtMs: number | undefined;
+    lastAtMs: number;
+    done: boolean;
+    finishSeen: boolean;
+    errorCode: string | undefined;
+};
+
+function bodyOf({ model = "assistant", messages, maxTokens, length }: ChatRequest): string {
+    return JSON.stringify({
+        model,
+        messages,
+        stream: true,
+        max_tokens: maxTokens,
+        ...(length === undefined ? {} : { lab_length: length }),
+    });
+}
+
+function readAnswer(onToken: ChatRequest["onToken"]) {
+    const progress: Progress = {
+        parts: [],
+        firstAtMs: undefined,
+        lastAtMs: 0,
+        done: false,
+        finishSeen: false,
+        errorCode: undefined,
+    };
+    const parser = createParser({
+        onEvent: ({ data }) => {
+            if (data === "[DONE]") {
+                progress.done = true;
+                return;
+            }
+            const event = JSON.parse(data) as StreamEvent;
+            progress.errorCode ??= event.error?.code;
+            progress.finishSeen ||= typeof event.choices?.[0]?.finish_reason === "string";
+            const content = event.choices?.[0]?.delta?.content;
+            if (content !== undefined && content !== "") {
+                progress.lastAtMs = systemTimer.nowMs();
+                progress.firstAtMs ??= progress.lastAtMs;
+                progress.parts.push(content);
+                onToken?.(progress.parts.length);
+            }
+        },
+    });
+    return { progress, feed: (text: string) => parser.feed(text) };
+}
+
+function resultOf({ status, headers, raw }: Heard, progress: Progress, startMs: number): CallResult {
+    const { parts, firstAtMs, lastAtMs, done, finishSeen, errorCode } = progress;
+    const endedCleanly = done && errorCode === undefined;
+    return {
+        status,
+        requestId: headers["x-request-id"] as string | undefined,
+        text: parts.join(""),
+        tokens: parts.length,
+        whole: endedCleanly && finishSeen,
+        endedCleanly,
+        outcome: chatOutcome(status, headers, endedCleanly),
+        errorCode: errorCode ?? (status === 200 ? undefined : codeOf(raw)),
+        retryAfter: headers["retry-after"] as string | undefined,
+        firstTokenMs: firstAtMs === undefined ? undefined : firstAtMs - startMs,
+        betweenTokensMs: firstAtMs === undefined || parts.length < 2
+            ? undefined
+            : (lastAtMs - firstAtMs) / (parts.length - 1),
+        totalMs: systemTimer.nowMs() - startMs,
+    };
+}
+
 function chatOutcome(status: number, headers: Headers, endedCleanly: boolean): Outcome {
     if (status === 0) {
         return "none";
