--- a/packages/entry/src/callers/chatAttempt.ts
+++ b/packages/entry/src/callers/chatAttempt.ts
@@ -33,7 +33,6 @@
 };
 
 const agent = new Agent({ keepAlive: true, maxSockets: Infinity });
-const callerStallTimeoutMs = 60_000;
 
 export function attemptChat(attempt: Attempt): Promise<AttemptResult> {
     const { attemptId, answer, timer, limits, response: outgoing } = attempt;
@@ -68,7 +67,7 @@
             response.statusCode === 200
                 ? takeStream(response, answer.expect(attemptId), end, idle)
                 : takeRefusal(response, end));
-        const idle = watchIdle(timer, { ...limits, callerStallTimeoutMs }, {
+        const idle = watchIdle(timer, limits, {
             upstreamIdle: () => end({ kind: "timedOut" }),
             callerStalled: () => {
                 outgoing.destroy();
