Decide what a row of attempts amounts to in the core, and fuzz it

Cause: the untrue refusal that the histories found lay in a decision spread over a loop with sockets in it; it could not be fuzzed there. Ruled out: taking chat completions along now, whose loop another part is changing. Change: core/outcomes/attempts.ts (after an attempt, whether another may be made, how the request ended) with four properties over random upstreams; calls to plain services use it. Seen to fail with the guard taken out: only the last attempt's doubt counted ("what is told not run has run nowhere"); repeats whatever the call ("at most once"); no cap ("attempts stay within their cap").

--- a/packages/core/src/outcomes/index.ts
+++ b/packages/core/src/outcomes/index.ts
@@ -1,4 +1,5 @@
 /** Repeats, what may be repeated, and claims on what may not. */
+export { afterAttempt, type AttemptEnd, type Attempts, endingOf, mayTryAgain, noAttempts } from "./attempts";
 export {
     type Claimant,
     type ClaimEvent,
--- a/packages/entry/src/callers/plain.ts
+++ b/packages/entry/src/callers/plain.ts
@@ -1,5 +1,5 @@
 /** Calls to plain services: repeatable ones may be tried again, others reach an upstream at most once. */
-import { isRepeatable } from "@rattanquay/core";
+import { afterAttempt, type AttemptEnd, endingOf, isRepeatable, mayTryAgain, noAttempts } from "@rattanquay/core";
 import { headerNames, type PlainService } from "@rattanquay/schema";
 import { randomUUID } from "node:crypto";
 import { admittedUnlessGone, isGone } from "./admitted";
@@ -78,29 +78,40 @@
     return claimAndAnswer(exchange, call, key, reach, () => tryUpstreams(exchange, call, reach));
 }
 
-const isInDoubt = (tried: Tried): boolean => tried.kind === "cut" || tried.kind === "timedOut";
+/** What a result says of the attempt; nothing was sent where there was none. */
+const endOf = {
+    answered: "answered",
+    unreached: "unreached",
+    cut: "inDoubt",
+    timedOut: "inDoubt",
+    refused: "unreached",
+    callerGone: "unreached",
+} as const satisfies Record<Tried["kind"], AttemptEnd>;
 
-/** Once an attempt may have run, only an answer can make that good: no later attempt's refusal is the call's. */
 async function tryUpstreams(exchange: Exchange, call: PlainCall, reach: Reach): Promise<Tried> {
     const budget = reach.retryBudget;
     const tried = new Set<string>();
-    let mayHaveRun: Tried | undefined;
+    const rules = { isRepeatable: call.repeatable, maxAttempts };
+    let attempts = noAttempts;
+    let inDoubt: Tried | undefined;
     let last: Tried | undefined;
     budget.noteFirstAttempt();
-    for (let attempt = 1;; attempt++) {
+    for (;;) {
         const id = `${exchange.requestId}/${randomUUID()}`;
         const admission = await admit(exchange, call, id, tried, reach);
         if (admission.kind !== "started") {
-            return mayHaveRun ?? last ?? admission;
+            return inDoubt ?? last ?? admission;
         }
         last = await sendIfStillRight(exchange, call, admission.replica.address, id, reach);
         reach.dispatch.release(id);
         reach.surroundings.metrics.attempts.inc({ service: exchange.service, result: last.kind });
         tried.add(admission.replica.replica);
-        mayHaveRun = isInDoubt(last) ? last : mayHaveRun;
-        const mayRepeat = last.kind === "unreached" || (call.repeatable && isInDoubt(last));
-        if (!mayRepeat || attempt >= maxAttempts || !budget.spend()) {
-            return last.kind === "answered" ? last : mayHaveRun ?? last;
+        const end = endOf[last.kind];
+        attempts = afterAttempt(attempts, end);
+        inDoubt = end === "inDoubt" ? last : inDoubt;
+        const isFinal = last.kind === "refused" || last.kind === "callerGone";
+        if (isFinal || !mayTryAgain(attempts, end, rules) || !budget.spend()) {
+            return endingOf(attempts, end) === "unknown" ? inDoubt ?? last : last;
         }
     }
 }
