--- a/packages/lab/src/engine/engineStandIn.ts
+++ b/packages/lab/src/engine/engineStandIn.ts
@@ -38,10 +38,9 @@
 /** What the routes of one instance share. */
 type Parts = {
     readonly info: () => ServerInfo;
-    /** The load of this instant, which no router is told. */
-    readonly load: () => Batch["load"];
     readonly assignment: AssignmentHolder;
     readonly completions: Completions;
+    readonly load: () => Batch["load"];
     readonly setFault: (fault: EngineFault) => void;
 };
 
@@ -77,7 +76,7 @@
         const load = { running, waiting, ageMs: systemTimer.nowMs() - atMs };
         return accountOf(options.instance, bootId, assignment, load);
     };
-    const routes = makeRoutes({ info, load: () => batch.load, assignment, completions, setFault });
+    const routes = makeRoutes({ info, assignment, completions, load: () => batch.load, setFault });
     const { server, port } = await listen(options.port ?? 0, (request, response, path) => {
         if (muted && !path.startsWith("/lab/")) {
             return;
@@ -126,7 +125,7 @@
     };
 }
 
-function makeRoutes({ info, load, assignment, completions, setFault }: Parts): Readonly<Record<string, Route>> {
+function makeRoutes({ info, assignment, completions, load, setFault }: Parts): Readonly<Record<string, Route>> {
     return {
         "GET /server_info": (unusedRequest, response) => sendJson(response, 200, info()),
         "GET /health": (unusedRequest, response) =>
