Let chat completions decide over their attempts in the core as well

Cause: the same decision stood twice, in the loop over replicas and in the one over a plain service's upstreams. No behaviour is meant to change.

--- a/packages/entry/src/callers/chat.ts
+++ b/packages/entry/src/callers/chat.ts
@@ -1,4 +1,5 @@
 /** Chat completions: admission, attempts at replicas, resumption, and a whole answer or a true refusal. */
+import { afterAttempt, endingOf, mayTryAgain, noAttempts } from "@rattanquay/core";
 import { ChatCall, check, headerNames, type ModelService, renderFaults } from "@rattanquay/schema";
 import { randomUUID } from "node:crypto";
 import { type Granted } from "../dispatch";
@@ -11,7 +12,8 @@
 import { type Conclusion, type Exchange, refuse } from "./exchange";
 import { spill } from "./spill";
 
-const maxAttempts = 4;
+/** A chat completion may run more than once: its answer alone counts. */
+const rules = { isRepeatable: true, maxAttempts: 4 };
 
 export async function serveChat(exchange: Exchange, workspace: string, reach: Reach): Promise<Conclusion> {
     const { settings, timer } = reach.surroundings;
@@ -55,9 +57,10 @@
         : makeWholeAnswer(exchange, reach.surroundings);
     const budget = reach.retryBudget;
     const tried = new Set<string>();
-    let ran = false;
+    let attempts = noAttempts;
     budget.noteFirstAttempt();
-    for (let attempt = 1;; attempt++) {
+    for (;;) {
+        const { mayHaveRun } = attempts;
         const id = `${exchange.requestId}/${randomUUID()}`;
         const grant = await admittedUnlessGone(
             exchange.response,
@@ -66,12 +69,12 @@
             () => admitChat(exchange, workspace, call, service, id, tried, reach),
         );
         if (grant.kind === "callerGone") {
-            return { ending: ran ? "unknown" : "notRun", code: "callerGone" };
+            return { ending: endingOf(attempts, undefined), code: "callerGone" };
         }
         if (grant.kind === "refused") {
-            const spilled = ran ? undefined : await spill(exchange, call, answer, reach);
+            const spilled = mayHaveRun ? undefined : await spill(exchange, call, answer, reach);
             return spilled === undefined || spilled.kind === "unreached"
-                ? giveUp(exchange, answer, ran, grant.code, grant.retryAfterMs)
+                ? giveUp(exchange, answer, mayHaveRun, grant.code, grant.retryAfterMs)
                 : concludeSpilled(exchange, answer, spilled);
         }
         const meter = meterAnswer(answer, service, id, reach);
@@ -87,10 +90,11 @@
         if (result.kind === "rejected") {
             return passRejection(answer, result);
         }
-        ran ||= result.kind !== "unreached";
+        const end = result.kind === "unreached" ? "unreached" : "inDoubt";
+        attempts = afterAttempt(attempts, end);
         tried.add(grant.replica.replica);
-        if (attempt >= maxAttempts || !budget.spend()) {
-            return giveUp(exchange, answer, ran, ran ? "upstreamFailed" : "upstreamUnreachable");
+        if (!mayTryAgain(attempts, end, rules) || !budget.spend()) {
+            return giveUp(exchange, answer, attempts.mayHaveRun, "upstreamUnreachable");
         }
     }
 }
@@ -162,11 +166,11 @@
 function giveUp(
     exchange: Exchange,
     answer: Answer,
-    ran: boolean,
+    mayHaveRun: boolean,
     code: "noReplica" | "overloaded" | "upstreamFailed" | "upstreamUnreachable",
     retryAfterMs?: number,
 ): Conclusion {
-    const told = ran ? "upstreamFailed" : code;
+    const told = mayHaveRun ? "upstreamFailed" : code;
     if (answer.begun()) {
         answer.breakOff(told);
         return { ending: "unknown", code: told };
