--- a/packages/entry/src/callers/chat.ts
+++ b/packages/entry/src/callers/chat.ts
@@ -1,11 +1,11 @@
 /** Chat completions: admission, attempts at replicas, resumption, and a whole answer or a true refusal. */
-import { type Replica } from "@rattanquay/core";
 import { ChatCall, check, headerNames, type ModelService, renderFaults } from "@rattanquay/schema";
 import { randomUUID } from "node:crypto";
+import { type Granted } from "../dispatch";
 import { admittedUnlessGone } from "./admitted";
 import { parseJson, readBody } from "./body";
 import { type Reach } from "./callerDoor";
-import { admitChat } from "./chatAdmission";
+import { admitChat, meterAnswer } from "./chatAdmission";
 import { type Answer, makeStreamedAnswer, makeWholeAnswer } from "./chatAnswer";
 import { attemptChat, type AttemptResult } from "./chatAttempt";
 import { type Conclusion, type Exchange, refuse } from "./exchange";
@@ -74,8 +74,9 @@
                 ? giveUp(exchange, answer, ran, grant.code, grant.retryAfterMs)
                 : concludeSpilled(exchange, answer, spilled);
         }
-        const result = await runAttempt(exchange, call, grant.replica, id, answer, reach);
-        reach.dispatch.release(id);
+        const meter = meterAnswer(answer, service, id, reach);
+        const result = await runAttempt(exchange, call, grant, id, meter.answer, reach);
+        reach.dispatch.release(id, meter.account(result));
         reach.surroundings.metrics.attempts.inc({ service: exchange.service, result: result.kind });
         if (result.kind === "whole") {
             return { ending: "answered", code: "ok" };
@@ -97,7 +98,7 @@
 async function runAttempt(
     exchange: Exchange,
     call: ChatCall,
-    replica: Replica,
+    { replica, enginePriority }: Granted,
     attemptId: string,
     answer: Answer,
     { surroundings, dispatch }: Reach,
@@ -115,6 +116,7 @@
             [headerNames.requestId]: exchange.requestId,
             [headerNames.attemptId]: attemptId,
             [headerNames.resumeFrom]: String(answer.tokens()),
+            [headerNames.priority]: String(enginePriority),
         },
         call: {
             ...call,
