--- a/packages/lab/src/experiments/cut.ts
+++ b/packages/lab/src/experiments/cut.ts
@@ -33,7 +33,15 @@
 
 const phases = ["before", "during", "after"] as const;
 type Phase = typeof phases[number];
-type Tally = { calls: number; answered: number; refused: number; failed: number; readonly firstToken: Histogram };
+type Tally = {
+    calls: number;
+    answered: number;
+    refused: number;
+    failed: number;
+    readonly firstToken: Histogram;
+    /** How calls without a whole answer ended. */
+    readonly codes: Map<string, number>;
+};
 type Tallies = Map<string, Tally>;
 
 const spec: ClusterSpec = { ...defaultSpec, zones: 3, entriesPerZone: 2, replicasPerZone: 2, cuttable: true };
@@ -77,6 +85,9 @@
     const healedAtMs = systemTimer.nowMs();
     const convergedMs = await submitted ? await untilInForce(cluster, 2) - healedAtMs : undefined;
     await load;
+    for (const [name, { codes }] of [...tallies].filter(([, tally]) => tally.codes.size > 0)) {
+        process.stdout.write(`${name} without a whole answer: ${JSON.stringify(Object.fromEntries(codes))}\n`);
+    }
     return { ...figuresOf(tallies), ...(convergedMs === undefined ? {} : { convergedMs: Math.round(convergedMs) }) };
 }
 
@@ -121,18 +132,22 @@
 
 async function callOne(port: number, index: number, tally: Tally): Promise<void> {
     const messages = [{ role: "user", content: `Dropper ${index} is frayed.` }];
-    const { whole, status, firstTokenMs } = await callChat({ port, messages, maxTokens: tokens });
+    const { whole, status, errorCode, firstTokenMs } = await callChat({ port, messages, maxTokens: tokens });
     tally.calls++;
     tally.answered += whole ? 1 : 0;
     tally.refused += status === 429 || status === 503 ? 1 : 0;
     tally.failed += whole || status === 429 || status === 503 ? 0 : 1;
+    if (!whole) {
+        const code = errorCode ?? `status${status}`;
+        tally.codes.set(code, (tally.codes.get(code) ?? 0) + 1);
+    }
     if (firstTokenMs !== undefined) {
         tally.firstToken.recordValue(Math.round(firstTokenMs));
     }
 }
 
 function makeTally(): Tally {
-    return { calls: 0, answered: 0, refused: 0, failed: 0, firstToken: build() };
+    return { calls: 0, answered: 0, refused: 0, failed: 0, firstToken: build(), codes: new Map() };
 }
 
 function figuresOf(tallies: Tallies): Record<string, number> {
