--- a/packages/entry/src/fleet/fleetTask.ts
+++ b/packages/entry/src/fleet/fleetTask.ts
@@ -117,37 +117,10 @@
 };
 
 function makeHandlers({ surroundings, source, probing, send }: Parts) {
-    const { settings, timer, log, metrics, instanceSource } = surroundings;
+    const { settings, timer, log } = surroundings;
     const book = makeEvidenceBook();
-    const state: State = {
-        snapshot: emptySnapshot,
-        list: { instances: [], entries: [] },
-        listKnown: false,
-        groups: [],
-        rows: new Map(),
-        headVersion: undefined,
-        groupsVersion: undefined,
-        evidence: new Map(),
-        findings: new Map(),
-        readingGroups: false,
-        readingInstances: false,
-    };
-
-    const readInstances = async (): Promise<void> => {
-        const outcome = await instanceSource.list();
-        if (outcome.kind !== "done") {
-            metrics.platformErrors.inc({ call: "listInstances" });
-        }
-        send({ kind: "instances", list: outcome.kind === "done" ? outcome.value : undefined });
-    };
-
-    const readGroups = async (): Promise<void> => {
-        const read = await readZone(surroundings, state.headVersion);
-        if (read.kind === "unavailable") {
-            metrics.platformErrors.inc({ call: "readGroups" });
-        }
-        send(read.kind === "changed" ? { ...read, kind: "groups" } : { kind: "groupsReadEnded" });
-    };
+    const state = makeState();
+    const { readInstances, readGroups } = makeReads(surroundings, state, send);
 
     return {
         snapshot: ({ snapshot }: { readonly snapshot: Snapshot }) => {
@@ -210,6 +183,43 @@
     };
 }
 
+function makeState(): State {
+    return {
+        snapshot: emptySnapshot,
+        list: { instances: [], entries: [] },
+        listKnown: false,
+        groups: [],
+        rows: new Map(),
+        headVersion: undefined,
+        groupsVersion: undefined,
+        evidence: new Map(),
+        findings: new Map(),
+        readingGroups: false,
+        readingInstances: false,
+    };
+}
+
+/** Reads of the platform; what they bring comes back as messages. */
+function makeReads(surroundings: Surroundings, state: State, send: (message: Message) => void) {
+    const { metrics, instanceSource } = surroundings;
+    return {
+        readInstances: async (): Promise<void> => {
+            const outcome = await instanceSource.list();
+            if (outcome.kind !== "done") {
+                metrics.platformErrors.inc({ call: "listInstances" });
+            }
+            send({ kind: "instances", list: outcome.kind === "done" ? outcome.value : undefined });
+        },
+        readGroups: async (): Promise<void> => {
+            const read = await readZone(surroundings, state.headVersion);
+            if (read.kind === "unavailable") {
+                metrics.platformErrors.inc({ call: "readGroups" });
+            }
+            send(read.kind === "changed" ? { ...read, kind: "groups" } : { kind: "groupsReadEnded" });
+        },
+    };
+}
+
 function forgetUnlisted(state: State, book: ReturnType<typeof makeEvidenceBook>): void {
     const members = state.groups.flatMap(group => group.members.map(member => member.instance));
     const known = new Set([...state.list.instances.map(instance => instance.instance), ...members]);
--- a/packages/entry/src/peers/peersTask.ts
+++ b/packages/entry/src/peers/peersTask.ts
@@ -5,7 +5,7 @@
  */
 import { type Hash, type PeerMember } from "@rattanquay/core";
 import { dial, type LinkEvent, startLink, startPeerListener } from "@rattanquay/peer";
-import { type PeerHello, type Progress } from "@rattanquay/schema";
+import { type PeerHello, type Progress, type Settings } from "@rattanquay/schema";
 import { type Feed, makeSource, startTask } from "@rattanquay/task";
 import { type Cancel, type Timer } from "@rattanquay/timer";
 import { randomUUID } from "node:crypto";
@@ -62,16 +62,7 @@
         ...(tls === undefined ? {} : { tls }),
         onSocket: socket => open(socket, undefined),
     });
-    const own: Omit<PeerHello, "nonce"> = {
-        lowestVersion,
-        highestVersion,
-        process: settings.process.id,
-        startId: randomUUID(),
-        region: settings.process.region,
-        availabilityZone: settings.process.availabilityZone,
-        peerAddress: `${settings.process.address}:${settings.listeners.peers.advertisedPort ?? listener.port}`,
-        callerAddress: `${settings.process.address}:${settings.listeners.callers.advertisedPort ?? callerPort}`,
-    };
+    const own = introduce(settings, listener.port, callerPort);
     const source = makeSource<PeersKnowledge>({ members: [], summaries: new Map(), caughtUp: false });
     const state = makePeersState(surroundings, own);
     const asks = makeProgressAsks({
@@ -133,6 +124,24 @@
     };
 }
 
+/** What this start of the process says of itself on each link. */
+function introduce(
+    { process, listeners }: Settings,
+    peerPort: number,
+    callerPort: number,
+): Omit<PeerHello, "nonce"> {
+    return {
+        lowestVersion,
+        highestVersion,
+        process: process.id,
+        startId: randomUUID(),
+        region: process.region,
+        availabilityZone: process.availabilityZone,
+        peerAddress: `${process.address}:${listeners.peers.advertisedPort ?? peerPort}`,
+        callerAddress: `${process.address}:${listeners.callers.advertisedPort ?? callerPort}`,
+    };
+}
+
 /** Heartbeats go out half an interval after the probes, so that they carry what those have just found. */
 function everyFrom(timer: Timer, delayMs: number, periodMs: number, action: () => void): Cancel {
     let cancel = timer.after(delayMs, () => {
--- a/packages/peer/src/__tests__/peer.test.ts
+++ b/packages/peer/src/__tests__/peer.test.ts
@@ -1,6 +1,8 @@
 /** Frames, the proof of both sides, and messages over a real socket pair. */
 import { type PeerHello, type PeerMessage } from "@rattanquay/schema";
 import { systemTimer } from "@rattanquay/timer";
+import { readFileSync } from "node:fs";
+import { type TlsOptions } from "node:tls";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import {
@@ -108,7 +110,7 @@
     readonly next: (kind: LinkEvent["kind"]) => Promise<LinkEvent>;
 };
 
-async function linkedPair(secrets: { readonly dialer: string; readonly listener: string }) {
+async function linkedPair(secrets: { readonly dialer: string; readonly listener: string }, tls?: TlsOptions) {
     const ends = new Map<string, End>();
     const makeEnd = (role: "dialer" | "listener", socket: ReturnType<typeof dial>): End => {
         const events: LinkEvent[] = [];
@@ -139,9 +141,10 @@
     const listener = await startPeerListener({
         host: "127.0.0.1",
         port: 0,
+        ...(tls === undefined ? {} : { tls }),
         onSocket: socket => makeEnd("listener", socket),
     });
-    const dialer = makeEnd("dialer", dial(`127.0.0.1:${listener.port}`));
+    const dialer = makeEnd("dialer", dial(`127.0.0.1:${listener.port}`, { tls }));
     return { dialer, listening: () => ends.get("listener")!, close: listener.close };
 }
 
@@ -168,6 +171,20 @@
     close();
 });
 
+test("links run over TLS, each side with a certificate of the one authority", async () => {
+    const fixture = (name: string): string =>
+        readFileSync(new URL(`../../../lab/src/__tests__/__fixtures__/${name}`, import.meta.url), "utf8");
+    const cert = fixture("test-certificate.pem");
+    const tls = { cert, key: fixture("test-key.pem"), ca: cert, requestCert: true, rejectUnauthorized: true };
+    const { dialer, listening, close } = await linkedPair({ dialer: secret, listener: secret }, tls);
+    const event = await Promise.race([dialer.next("up"), dialer.next("down")]);
+    assert.is(event.kind, "up", JSON.stringify(event));
+    await listening().next("up");
+    dialer.link.close("done");
+    await listening().next("down");
+    close();
+});
+
 test("a peer with another secret is never up", async () => {
     const { dialer, listening, close } = await linkedPair({ dialer: secret, listener: "quite-another-secret" });
     await dialer.next("down");
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -5,7 +5,7 @@
 import { Encoder } from "cbor-x";
 import { type Socket } from "node:net";
 import { Deframer, frameOf } from "./frames";
-import { makeHandshake, type Role } from "./handshake";
+import { type Handshake, makeHandshake, type Role } from "./handshake";
 
 /** What a link tells its owner. Nothing follows `down`. */
 export type LinkEvent =
@@ -57,7 +57,6 @@
     const handshake = makeHandshake({ role, own, secret });
     const deframer = new Deframer(maxHelloBytes);
     const encoder = makeCodec();
-    const decoder = makeCodec();
     const traffic = { bytesIn: 0, bytesOut: 0, messagesIn: 0, messagesOut: 0 };
     let proved = false;
     let ended = false;
@@ -79,33 +78,15 @@
         }
     };
 
-    const takeHandshake = (payload: Buffer): void => {
-        const step = handshake.take(payload);
-        if (step.kind === "reply") {
-            write(step.payload);
-        }
-        if (step.kind === "failed") {
-            end(step.reason);
-        }
-        if (step.kind === "proved") {
+    const talk = makeTalk(options, handshake, {
+        write,
+        end,
+        onProved: () => {
             proved = true;
             deframer.maxBytes = maxFrameBytes;
             cancel();
-            onEvent({ kind: "up", peer: step.peer, version: step.version });
-        }
-    };
-
-    const takeMessage = (payload: Buffer): void => {
-        const decoded = decode(decoder, payload);
-        if (decoded.kind === "broken") {
-            end("a frame cannot be decoded");
-            return;
-        }
-        const parsed = PeerMessage.safeParse(decoded.value);
-        if (parsed.success) {
-            onEvent({ kind: "message", message: parsed.data });
-        }
-    };
+        },
+    });
 
     const mailbox = startTask<Message>({
         name: "link",
@@ -120,7 +101,7 @@
                 }
                 for (const payload of deframed.payloads.filter(() => !ended)) {
                     traffic.messagesIn++;
-                    (proved ? takeMessage : takeHandshake)(payload);
+                    (proved ? talk.takeMessage : talk.takeHandshake)(payload);
                 }
             },
             send: ({ message }) => {
@@ -152,6 +133,43 @@
     };
 }
 
+type TalkActions = {
+    readonly write: (payload: Buffer) => void;
+    readonly end: (reason: string) => void;
+    readonly onProved: () => void;
+};
+
+/** What is done with payloads, before and after both sides are proved. */
+function makeTalk({ onEvent }: LinkOptions, handshake: Handshake, { write, end, onProved }: TalkActions) {
+    const decoder = makeCodec();
+    return {
+        takeHandshake: (payload: Buffer): void => {
+            const step = handshake.take(payload);
+            if (step.kind === "reply") {
+                write(step.payload);
+            }
+            if (step.kind === "failed") {
+                end(step.reason);
+            }
+            if (step.kind === "proved") {
+                onProved();
+                onEvent({ kind: "up", peer: step.peer, version: step.version });
+            }
+        },
+        takeMessage: (payload: Buffer): void => {
+            const decoded = decode(decoder, payload);
+            if (decoded.kind === "broken") {
+                end("a frame cannot be decoded");
+                return;
+            }
+            const parsed = PeerMessage.safeParse(decoded.value);
+            if (parsed.success) {
+                onEvent({ kind: "message", message: parsed.data });
+            }
+        },
+    };
+}
+
 type Decoded = { readonly kind: "value"; readonly value: unknown } | { readonly kind: "broken" };
 
 function decode(decoder: Encoder, payload: Buffer): Decoded {
