--- a/packages/lab/src/runLabCommand.ts
+++ b/packages/lab/src/runLabCommand.ts
@@ -4,7 +4,9 @@
 import { demo } from "./demo";
 import { type EngineOptions, type InstanceSwarmOptions, startEngine, startInstanceSwarm } from "./engine";
 import { runExperiment } from "./experiments";
+import { faultUsage, runFault } from "./fault";
 import { listen, sendJson } from "./httpServer";
+import { loadUsage, runLoad } from "./load";
 import { startPipe } from "./pipe";
 import { startPlatform } from "./platform";
 import { startService } from "./service";
@@ -19,6 +21,8 @@
     pipe: { usage: "pipe --port N --to HOST:PORT[,…]", run: runPipe },
     instances: { usage: "instances --port N --options JSON", run: runInstances },
     entries: { usage: "entries --port N --options JSON", run: runEntries },
+    load: { usage: loadUsage, run: runLoad },
+    fault: { usage: faultUsage, run: runFault },
     experiment: {
         usage: "experiment NAME [--seed N] [--workload FILE] [--policy NAME] [--seconds N] [--json]",
         run: runExperiment,
