Check the history of control through separate processes, and measure losses and tickets

Cause: nothing watched the real processes while the lease holder froze, the platform failed or a domain went dark.

Change: an observer samples rows, lease, what each process serves and what each instance says; checkControlHistory judges the samples, and is itself held by five bad histories. Four cases: holder frozen past its lease, platform down then slow, a domain dark and back, holder frozen with an instance gone and answers lost. experiment group-loss (virtual time) and experiment ticket (15 entry processes).

Found: a woken process showed standings in /v1/status that it had judged before its pause (dispatch already refused them); status now shows them as not judged.

The observer was wrong twice and is mended as strictly: it asked instances before it asked what is served, so that a group ready in between looked unproved; and it stopped before it had seen any rows after an outage, which it now asserts.

Seen to fail: the recall test with applyAccepted taken out (not in force within 3 s while the platform is down).

--- a/packages/entry/src/operators/status.ts
+++ b/packages/entry/src/operators/status.ts
@@ -1,10 +1,14 @@
 /** What one process knows, for operators. */
+import { type Standing } from "@rattanquay/core";
 import { type Configuration } from "../config";
 import { type ZoneKnowledge } from "../fleet";
 import { type PeersKnowledge } from "../peers";
 import { type Surroundings } from "../surroundings";
 
-/** The answer to `GET /v1/status`. Ages are in milliseconds on the answering process's own clock. */
+/**
+ * The answer to `GET /v1/status`. A process that was paused does not show what it judged before as if it held now. Ages
+ * are in milliseconds on the answering process's own clock.
+ */
 export function statusOf(
     surroundings: Surroundings,
     configuration: Configuration,
@@ -15,6 +19,9 @@
     const { settings, timer } = surroundings;
     const nowMs = timer.nowMs();
     const { snapshot } = configuration;
+    const isJudged = nowMs - zone.judgedAtMs <= settings.intervals.evidenceMaxAgeMs;
+    const standingOf = (group: string): Standing =>
+        (isJudged ? zone.standings.get(group) : undefined) ?? { kind: "unproved", reason: "not judged yet" };
     return {
         process: settings.process.id,
         availabilityZone: settings.process.availabilityZone,
@@ -31,20 +38,19 @@
                 ? declared.replicas[settings.process.availabilityZone] ?? 0
                 : declared.upstreams.length,
             serving:
-                zone.groups.filter(group =>
-                    group.service === service && zone.standings.get(group.group)?.kind === "serving"
-                ).length,
+                zone.groups.filter(group => group.service === service && standingOf(group.group).kind === "serving")
+                    .length,
         })),
         groups: zone.groups.map(group => {
-            const standing = zone.standings.get(group.group);
+            const standing = standingOf(group.group);
             return {
                 group: group.group,
                 service: group.service,
                 version: group.version,
                 fence: group.fence,
                 state: group.state,
-                standing: standing?.kind ?? "unproved",
-                reason: standing !== undefined && "reason" in standing ? standing.reason : undefined,
+                standing: standing.kind,
+                reason: "reason" in standing ? standing.reason : undefined,
                 members: group.members.map(({ instance }) => {
                     const evidence = zone.evidence.get(instance);
                     return {
--- a/packages/lab/src/cluster/index.ts
+++ b/packages/lab/src/cluster/index.ts
@@ -9,6 +9,7 @@
     ticketFor,
     zoneNames,
 } from "./clusterSpec";
+export { checkControlHistory, type ControlSample, observe, type Observer } from "./controlHistory";
 export { type EmbeddedCluster, startEmbeddedCluster } from "./embeddedCluster";
 export { type EntrySwarmOptions, startEntrySwarm } from "./entrySwarm";
 export { type EntryMember, type ProcessCluster, startProcessCluster } from "./processCluster";
--- a/packages/lab/src/fakes/fakeZone.ts
+++ b/packages/lab/src/fakes/fakeZone.ts
@@ -29,6 +29,8 @@
     /** The share of engines that refuse an old fencing number. */
     readonly fencingShare: number;
     readonly listLagMs: number;
+    /** Whether ready engines watch their fellow members and report the group's failure themselves. */
+    readonly enginesWatch?: boolean;
     readonly policies?: Partial<ZoneControlOptions["policies"]>;
 };
 
@@ -80,7 +82,9 @@
             }
         }
         this.publishList();
-        this.timer.every(watchMs, () => this.engines.forEach(engine => engine.watch(name => this.engines.get(name))));
+        if (spec.enginesWatch !== false) {
+            this.timer.every(watchMs, () => this.engines.forEach(engine => engine.watch(key => this.engines.get(key))));
+        }
         Array.from({ length: spec.controllers }, (unused, index) => this.startController(`entry-${index}`));
     }
 
@@ -94,7 +98,15 @@
             replicas: { [fakeZoneName]: replicas },
             groupSize,
         });
-        const services = new Map([[fakeService, { ...before, ...change } as ModelService]]);
+        const changed = { ...before, ...change } as ModelService;
+        const services = new Map([...this.snapshot.services, [fakeService, changed] as const]);
+        this.snapshot = { ...this.snapshot, revision: this.snapshot.revision + 1, services };
+    }
+
+    /** Declares another model service beside the first. */
+    declareAlso(name: string, declared: Pick<ModelService, "groupSize" | "replicas" | "priority">): void {
+        const service = Service.parse({ kind: "model", model: name, version: "v1", ...declared });
+        const services = new Map([...this.snapshot.services, [name, service] as const]);
         this.snapshot = { ...this.snapshot, revision: this.snapshot.revision + 1, services };
     }
 
