--- a/packages/lab/src/service/serviceStandIn.ts
+++ b/packages/lab/src/service/serviceStandIn.ts
@@ -10,6 +10,8 @@
     readonly attemptId: string;
     readonly path: string;
     readonly body: string;
+    /** The trace that the call belongs to, as it arrived. */
+    readonly traceparent: string | undefined;
 };
 
 export type ServiceFault = {
@@ -72,7 +74,9 @@
         }
         const requestId = String(request.headers[headerNames.requestId]);
         const attemptId = String(request.headers[headerNames.attemptId]);
-        await run({ requestId, attemptId, path, body }, response);
+        const { traceparent: given } = request.headers;
+        const traceparent = typeof given === "string" ? given : undefined;
+        await run({ requestId, attemptId, path, body, traceparent }, response);
     });
     return {
         port,
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -44,8 +44,8 @@
         }),
         inFlight: new Gauge({
             name: "rattanquay_in_flight_requests",
-            help: "Requests being served.",
-            labelNames: ["service"],
+            help: "Requests whose answers have not wholly left this process, by listener.",
+            labelNames: ["listener"],
             registers,
         }),
         queued: new Gauge({
@@ -54,6 +54,13 @@
             labelNames: ["service"],
             registers,
         }),
+        places: new Gauge({
+            name: "rattanquay_places",
+            help:
+                "Requests of a service at once: limit of all processes, places of this one, and its short and long ones.",
+            labelNames: ["service", "state"],
+            registers,
+        }),
         replicas: new Gauge({
             name: "rattanquay_replicas",
             help: "Replicas of this zone by service and state.",
