Plan only on groups and rows of one version; let small groups take what large ones cannot use

Small groups took the first domain that came out even, and cost a large one its place: after a lost domain one large group fewer than the best packing.

Change: control has no news while the versions differ. bestFit first spares places for groups of the zone's largest size.

--- a/packages/core/src/groups/__tests__/policies.test.ts
+++ b/packages/core/src/groups/__tests__/policies.test.ts
@@ -63,11 +63,21 @@
 
 for (const { name, policy, free, expected } of spareCases) {
     test(`${policy} takes ${name}`, () => {
-        const chosen = spareChoices[policy](new Map<string, readonly Candidate[]>(free), 4, "m@1");
+        const chosen = spareChoices[policy](new Map<string, readonly Candidate[]>(free), {
+            size: 4,
+            weights: "m@1",
+            largestSize: 4,
+        });
         assert.is(chosen?.map(member => member.instance).join(" ") ?? "none", expected);
     });
 }
 
+test("a small group takes what no large group can use", () => {
+    const free = new Map<string, readonly Candidate[]>([domain("a", 8), domain("b", 10)]);
+    const chosen = spareChoices.bestFit(free, { size: 2, weights: "m@1", largestSize: 4 });
+    assert.equal(chosen?.map(member => member.instance), ["b0", "b1"]);
+});
+
 const breakUpCases = [
     { name: "one weak group when free instances complete it", free: 1, survivors: [3], expected: ["g0"] },
     { name: "nothing when no whole group comes of it", free: 0, survivors: [3], expected: [] },
--- a/packages/core/src/groups/planZone.ts
+++ b/packages/core/src/groups/planZone.ts
@@ -164,12 +164,20 @@
 
 function formationsOf(view: ZoneView, policies: PlanPolicies, free: Domains): readonly Formation[] {
     const left = new Map(free);
+    const largestSize = Math.max(
+        0,
+        ...servicesOfKind(view.snapshot, "model").map(([, { groupSize }]) => groupSize),
+    );
     const formations: Formation[] = [];
     for (const need of policies.repairOrder(needsOf(view))) {
         const declared = view.snapshot.services.get(need.service) as ModelService;
         for (let added = 0; added < need.missing; added++) {
             const isSurge = need.present + added >= need.declared;
-            const members = policies.spareChoice(left, declared.groupSize, weightsOf(declared));
+            const members = policies.spareChoice(left, {
+                size: declared.groupSize,
+                weights: weightsOf(declared),
+                largestSize,
+            });
             const freeCount = [...left.values()].reduce((sum, candidates) => sum + candidates.length, 0);
             if (members === undefined || isSurge && freeCount - members.length < declared.spares) {
                 break;
--- a/packages/entry/src/control/controlTask.ts
+++ b/packages/entry/src/control/controlTask.ts
@@ -78,8 +78,9 @@
     };
 }
 
+/** Nothing while a peer has told of groups whose rows this process has not read: a plan needs both of one version. */
 function newsOf(settings: Settings, configuration: Configuration, zone: ZoneKnowledge): ZoneNews | undefined {
-    if (!configuration.known || zone.headVersion === undefined) {
+    if (!configuration.known || zone.headVersion === undefined || zone.groupsVersion !== zone.headVersion) {
         return undefined;
     }
     const { availabilityZone } = settings.process;
