--- a/packages/lab/src/engine/engineStandIn.ts
+++ b/packages/lab/src/engine/engineStandIn.ts
@@ -19,6 +19,8 @@
     readonly weightBytes?: number;
     readonly loadMs?: number;
     readonly loadReportLagMs?: number;
+    /** How long a fellow member may take to answer before the group counts as broken. */
+    readonly memberTimeoutMs?: number;
     /** The file that notes each run of a request before it begins. */
     readonly journal?: string;
 };
