--- a/packages/core/src/admission/fairQueue.ts
+++ b/packages/core/src/admission/fairQueue.ts
@@ -45,6 +45,19 @@
     const without = (gone: Waiting<T>): void => {
         waiting = waiting.filter(other => other !== gone);
     };
+    /** What never started is not charged to its workspace: the items behind it move up. */
+    const giveBack = (gone: Waiting<T>): void => {
+        const { workspace, share } = gone.item;
+        without(gone);
+        finishTags.set(workspace, (finishTags.get(workspace) ?? 0) - 1 / share);
+        waiting = waiting
+            .map(other =>
+                other.item.workspace === workspace && other.startTag > gone.startTag
+                    ? { ...other, startTag: other.startTag - 1 / share }
+                    : other
+            )
+            .sort((a, b) => comesAfter(a, b) ? 1 : comesAfter(b, a) ? -1 : 0);
+    };
 
     return {
         push: item => {
@@ -64,9 +77,13 @@
             return entry?.item;
         },
         remove: matches => {
-            const gone = waiting.filter(({ item }) => matches(item));
-            waiting = waiting.filter(({ item }) => !matches(item));
-            return gone.map(({ item }) => item);
+            const gone: T[] = [];
+            for (let next = waiting.find(({ item }) => matches(item)); next !== undefined;) {
+                gone.push(next.item);
+                giveBack(next);
+                next = waiting.find(({ item }) => matches(item));
+            }
+            return gone;
         },
         aheadOf: item => {
             const peers = waiting.filter(other => other.item.priority >= item.priority);
--- a/packages/core/src/admission/index.ts
+++ b/packages/core/src/admission/index.ts
@@ -5,3 +5,4 @@
 export { type LengthEstimates, type LengthHint, makeLengthEstimates } from "./lengthEstimates";
 export { type BudgetPart, placeBudget, type RecentLoad } from "./placeBudget";
 export { makePlaceReserve, type PlaceReserve } from "./placeReserve";
+export { makeWorkspaceUsage, type WorkspaceUsage } from "./workspaceUsage";
--- a/packages/core/src/routing/replicaPool.ts
+++ b/packages/core/src/routing/replicaPool.ts
@@ -36,7 +36,7 @@
     readonly holdMs: () => number;
 };
 
-type Entry = { readonly load: ReplicaLoad; readonly limit: ConcurrencyLimit };
+type Entry = { readonly load: ReplicaLoad };
 
 export function makeReplicaPool(options: PoolOptions): ReplicaPool {
     const entries = new Map<string, Entry>();
@@ -44,20 +44,17 @@
     let replicas: readonly Replica[] = [];
     let common: ConcurrencyLimit | undefined;
 
-    /** What this replica's own answers show, steadied by those of all: replicas of one service are alike. */
-    const limitOf = (replica: Replica, entry: Entry): number =>
-        options.adaptive
-            ? Math.min(replica.concurrency, (entry.limit.limit() + (common?.limit() ?? entry.limit.limit())) / 2)
-            : replica.concurrency;
+    /** Replicas of one service are alike: the answers of all show what each can take. */
+    const limitOf = (replica: Replica): number =>
+        options.adaptive ? Math.min(replica.concurrency, common?.limit() ?? replica.concurrency) : replica.concurrency;
 
-    const limitOfAll = (): number =>
-        replicas.reduce((sum, replica) => sum + limitOf(replica, entries.get(replica.replica)!), 0);
+    const limitOfAll = (): number => replicas.reduce((sum, replica) => sum + limitOf(replica), 0);
 
     const places = (nowMs: number): number => {
         const usable = replicas.filter(({ replica }) => outliers.standing(replica, nowMs) === "in");
         const parts = (options.adaptive ? usable : replicas).map(replica => {
             const entry = entries.get(replica.replica)!;
-            return { limit: limitOf(replica, entry), recent: entry.load.recent(nowMs) };
+            return { limit: limitOf(replica), recent: entry.load.recent(nowMs) };
         });
         return options.adaptive
             ? placeBudget(parts, options.peers())
@@ -82,8 +79,8 @@
         entry.load.own() + (othersOf(entry, meanCount, nowMs) - meanCount) / options.peers();
 
     /** How much own work one replica takes: its part of the places, and one more so that all places can be used. */
-    const sliceOf = (replica: Replica, entry: Entry, spread: number, nowMs: number): number => {
-        const limit = limitOf(replica, entry);
+    const sliceOf = (replica: Replica, spread: number, nowMs: number): number => {
+        const limit = limitOf(replica);
         const sliceBy = {
             in: () => Math.min(limit, Math.ceil(limit * spread) + 1),
             onTrial: () => 1,
@@ -104,7 +101,7 @@
             replicas = next;
             common ??= next[0] === undefined ? undefined : limitFor(next[0]);
             for (const replica of next) {
-                const entry = entries.get(replica.replica) ?? makeEntry(replica);
+                const entry = entries.get(replica.replica) ?? { load: makeReplicaLoad() };
                 entries.set(replica.replica, entry);
                 entry.load.update(replica, nowMs);
             }
@@ -118,9 +115,9 @@
             return replicas.flatMap(replica => {
                 const entry = entries.get(replica.replica)!;
                 const shown = shownLoad(entry, mean, nowMs);
-                const hasPlace = entry.load.own() + 1 <= sliceOf(replica, entry, spread, nowMs);
+                const hasPlace = entry.load.own() + 1 <= sliceOf(replica, spread, nowMs);
                 return hasPlace
-                    ? [{ ...replica, inFlight: entry.load.own(), load: shown / Math.max(1, limitOf(replica, entry)) }]
+                    ? [{ ...replica, inFlight: entry.load.own(), load: shown / Math.max(1, limitOf(replica)) }]
                     : [];
             });
         },
@@ -143,7 +140,6 @@
             }
             if (account?.kind === "answered" && account.betweenTokensMs !== undefined) {
                 const running = (runningAtStart + runningAtEnd) / 2;
-                entry.limit.observe(running, account.betweenTokensMs);
                 common?.observe(running, account.betweenTokensMs);
                 outliers.observe(replica, account.betweenTokensMs, nowMs);
             }
@@ -152,10 +148,6 @@
     };
 }
 
-function makeEntry(replica: Replica): Entry {
-    return { load: makeReplicaLoad(), limit: limitFor(replica) };
-}
-
 function limitFor({ concurrency, betweenTokensMs: targetMs }: Replica): ConcurrencyLimit {
     return targetMs === undefined
         ? { limit: () => concurrency, observe: () => undefined }
--- a/packages/core/src/routing/serviceQueue.ts
+++ b/packages/core/src/routing/serviceQueue.ts
@@ -3,9 +3,16 @@
  *
  * Short work goes before long work and has places that long work cannot take; a part of the places goes to long work
  * first, so that it is not starved. Within a class workspaces share by weight. A request is queued only when it will
- * start in a good half of the time it has left, so that a refusal comes at once and hardly ever after a wait.
+ * start well within the time it has left, so that a refusal comes at once and hardly ever after a wait.
  */
-import { type DrainRate, type FairQueue, makeDrainRate, makeFairQueue, makePlaceReserve } from "../admission";
+import {
+    type DrainRate,
+    type FairQueue,
+    makeDrainRate,
+    makeFairQueue,
+    makePlaceReserve,
+    makeWorkspaceUsage,
+} from "../admission";
 import { type DispatcherOptions, type Job, type Started, type Submission, type Usage } from "./dispatcher";
 import { type Account, makeReplicaPool, type ReplicaPool } from "./replicaPool";
 import { chooseReplica, type Replica } from "./routingPolicies";
@@ -35,7 +42,9 @@
 
 const leastRetryAfterMs = 1_000;
 /** Part of the time left that the estimated wait may take, since the estimate can be wrong by a factor. */
-const trustedShare = 0.5;
+const trustedShare = 0.4;
+/** The same for a workspace under its share, whose wait the fair queue bounds whatever others ask for. */
+const underShareTrusted = 0.9;
 /** Part of the places that go to waiting long work before short work. */
 const longAssuredShare = 0.1;
 /** Mean times to an engine's first token that are kept free before a deadline. */
@@ -47,6 +56,7 @@
     const drains: Readonly<Record<WorkClass, DrainRate>> = { short: makeDrainRate(), long: makeDrainRate() };
     const queues: Readonly<Record<WorkClass, FairQueue<Job>>> = { short: makeFairQueue(), long: makeFairQueue() };
     const reserve = makePlaceReserve();
+    const usage = makeWorkspaceUsage();
     const started = new Map<string, Work>();
     const running: Record<WorkClass, number> = { short: 0, long: 0 };
     const firstToken = makeDrainRate();
@@ -89,6 +99,7 @@
         });
         running[job.workClass]++;
         reserve.note(running.short, nowMs);
+        usage.noteStart(job, nowMs);
         return chosen;
     };
 
@@ -137,7 +148,8 @@
             }
             const leftMs = patienceMs(job, nowMs);
             const waitMs = drains[job.workClass].waitMs(queue.aheadOf(job), placesOf[job.workClass](nowMs));
-            if (leftMs <= 0 || (traits.estimates && waitMs > leftMs * trustedShare)) {
+            const trusted = usage.isUnderShare(job, nowMs) ? underShareTrusted : trustedShare;
+            if (leftMs <= 0 || (traits.estimates && waitMs > leftMs * trusted)) {
                 return refuse(waitMs, random);
             }
             queue.push({ ...job, startByMs: nowMs + leftMs });
