--- a/packages/entry/src/connections.ts
+++ b/packages/entry/src/connections.ts
@@ -34,6 +34,7 @@
 export function watchConnections(server: Server, listener: string, surroundings: Surroundings): Connections {
     const { timer, settings: { limits } } = surroundings;
     const running = new Map<ServerResponse, Progress>();
+    const gauge = surroundings.metrics.inFlight.labels({ listener });
     let draining = false;
     let onIdle: () => void = () => undefined;
 
@@ -41,11 +42,13 @@
     server.requestTimeout = limits.requestReadTimeoutMs * 2;
     server.prependListener("request", (unusedRequest: IncomingMessage, response: ServerResponse) => {
         running.set(response, { flushedBytes: 0, sinceMs: timer.nowMs() });
+        gauge.set(running.size);
         if (draining) {
             response.setHeader("connection", "close");
         }
         response.once("close", () => {
             running.delete(response);
+            gauge.set(running.size);
             if (running.size === 0) {
                 onIdle();
             }
--- a/packages/entry/src/dispatch/dispatchTask.ts
+++ b/packages/entry/src/dispatch/dispatchTask.ts
@@ -11,6 +11,7 @@
 import { type Configuration } from "../config";
 import { type Fleet, type ZoneKnowledge } from "../fleet";
 import { type Surroundings } from "../surroundings";
+import { servesOnFreshEvidence } from "./freshEvidence";
 import { replicasOf } from "./replicasOf";
 
 /** A request that wants a replica; with an `estimate`, its class and deadline follow from the length it is thought to have. */
@@ -151,17 +152,21 @@
         },
     });
     fleet.feed.subscribe(zone => mailbox.send({ kind: "zone", zone }));
-    const cancel = timer.every(expireIntervalMs, () => mailbox.send({ kind: "expire" }));
+    const cancel = timer.every(expireIntervalMs, () => {
+        if (known.size > 0) {
+            mailbox.send({ kind: "expire" });
+        }
+    });
     return {
         admit: wanted => ask<Message, Grant>(mailbox, reply => ({ kind: "admit", wanted, reply })),
         outgrow: id => mailbox.send({ kind: "outgrow", id }),
         release: (id, account = { kind: "ended" }) => mailbox.send({ kind: "release", id, account }),
         abandon: id => mailbox.send({ kind: "abandon", id }),
-        stillServing: replica => {
-            const { standings, judgedAtMs } = fleet.feed.latest();
-            return standings.get(replica)?.kind === "serving"
-                && timer.nowMs() - judgedAtMs <= settings.intervals.evidenceMaxAgeMs;
-        },
+        stillServing: replica =>
+            servesOnFreshEvidence(fleet.feed.latest(), replica, {
+                nowMs: timer.nowMs(),
+                maxAgeMs: settings.intervals.evidenceMaxAgeMs,
+            }),
         stop: () => {
             cancel();
             mailbox.close();
--- a/packages/lab/src/experiments/index.ts
+++ b/packages/lab/src/experiments/index.ts
@@ -1,7 +1,9 @@
 /** Experiments by name. */
 import { crest } from "./crest";
+import { cut } from "./cut";
 import { complainUsage, type Experiment } from "./experiment";
 import { hol } from "./hol";
+import { outcomes } from "./outcomes";
 import { overhead } from "./overhead";
 import { slopes } from "./slopes";
 import { slowReplica } from "./slowReplica";
@@ -9,7 +11,9 @@
 
 const experiments: Readonly<Record<string, Experiment>> = {
     crest,
+    cut,
     hol,
+    outcomes,
     overhead,
     slopes,
     "slow-replica": slowReplica,
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -44,8 +44,8 @@
         }),
         inFlight: new Gauge({
             name: "rattanquay_in_flight_requests",
-            help: "Requests being served.",
-            labelNames: ["service"],
+            help: "Requests whose answers have not wholly left this process, by listener.",
+            labelNames: ["listener"],
             registers,
         }),
         queued: new Gauge({
