--- a/packages/core/src/admission/__tests__/admission.test.ts
+++ b/packages/core/src/admission/__tests__/admission.test.ts
@@ -74,11 +74,13 @@
 const step = (running: number): readonly [number, number] => [running, 16 + running];
 test("queue order: what is taken out is not charged to its workspace", () => {
     const queue = makeFairQueue<Queueable>();
-    [item("a", "w"), item("b", "w"), item("c", "w"), item("d", "v"), item("e", "v")].forEach(queue.push);
+    [item("a", "w"), item("b", "w"), item("c", "w"), item("d", "v"), item("e", "v"), item("g", "v")].forEach(
+        queue.push,
+    );
     queue.remove(({ id }) => id === "a" || id === "b");
     queue.push(item("f", "w"));
-    const order = Array.from({ length: 4 }, () => queue.startFirst(() => true)!.id).join("");
-    assert.is(order, "dcef");
+    const order = Array.from({ length: 5 }, () => queue.startFirst(() => true)!.id).join("");
+    assert.is(order, "dcefg");
 });
 
 const limitCases = [
--- a/packages/lab/src/experiments/staleReports.ts
+++ b/packages/lab/src/experiments/staleReports.ts
@@ -8,10 +8,10 @@
 const shape: Shape = {
     entries: 8,
     replicas: 10,
-    concurrency: 16,
+    concurrency: 12,
     engine: {
-        maxRunning: 24,
-        stepBaseMs: 40,
+        maxRunning: 18,
+        stepBaseMs: 30,
         stepPerSequenceMs: 0.5,
         prefillTokensPerMs: 20,
         loadReportLagMs: 2_000,
