--- a/packages/core/src/admission/placeBudget.ts
+++ b/packages/core/src/admission/placeBudget.ts
@@ -30,7 +30,7 @@
     const evening = equalizingGain * (1 - room) * (equal - own);
     const least = Math.max(Math.min(1, limit), equal * assuredShare);
     const wanted = own + (limit - recent) / peers + burst + evening;
-    return Math.round(Math.min(limit, Math.max(least, wanted))) || 0;
+    return Math.ceil(Math.min(limit, Math.max(least, wanted))) || 0;
 }
 
 function sum(values: readonly number[]): number {
--- a/packages/core/src/routing/dispatcher.ts
+++ b/packages/core/src/routing/dispatcher.ts
@@ -5,6 +5,7 @@
  */
 import { type Account } from "./replicaPool";
 import { type Replica, type routingPolicies } from "./routingPolicies";
+import { type WorkClass } from "./runningWork";
 import { makeServiceQueue, type ServiceQueue } from "./serviceQueue";
 
 /** A request that wants a replica. */
@@ -14,7 +15,7 @@
     readonly workspace: string;
     /** Weight of the workspace when there is not enough for all. */
     readonly share: number;
-    readonly workClass: "short" | "long";
+    readonly workClass: WorkClass;
     readonly priority: number;
     /** The instant by which it must have started. */
     readonly startByMs: number;
--- a/packages/entry/src/dispatch/index.ts
+++ b/packages/entry/src/dispatch/index.ts
@@ -1,9 +1,3 @@
 /** Giving requests to replicas. */
-export {
-    type AttemptAccount,
-    type Dispatch,
-    type Grant,
-    type Granted,
-    startDispatch,
-    type Wanted,
-} from "./dispatchTask";
+export { type Dispatch, startDispatch } from "./dispatchTask";
+export { type AttemptAccount, type Grant, type Granted, type Wanted } from "./grant";
--- a/packages/lab/src/experiments/hol.ts
+++ b/packages/lab/src/experiments/hol.ts
@@ -9,7 +9,7 @@
     entries: 4,
     replicas: 8,
     concurrency: 8,
-    engine: { maxRunning: 12, stepBaseMs: 20, stepPerSequenceMs: 1.25, prefillTokensPerMs: 20 },
+    engine: { maxRunning: 8, stepBaseMs: 20, stepPerSequenceMs: 1.25, prefillTokensPerMs: 20 },
     longFromTokens: 64,
 };
 
--- a/packages/lab/src/experiments/staleReports.ts
+++ b/packages/lab/src/experiments/staleReports.ts
@@ -10,7 +10,7 @@
     replicas: 10,
     concurrency: 12,
     engine: {
-        maxRunning: 18,
+        maxRunning: 12,
         stepBaseMs: 30,
         stepPerSequenceMs: 0.5,
         prefillTokensPerMs: 20,
