--- a/packages/entry/src/callers/chatAttempt.ts
+++ b/packages/entry/src/callers/chatAttempt.ts
@@ -67,13 +67,7 @@
             response.statusCode === 200
                 ? takeStream(response, answer.expect(attemptId), end, idle)
                 : takeRefusal(response, end));
-        const idle = watchIdle(timer, limits, {
-            upstreamIdle: () => end({ kind: "timedOut" }),
-            callerStalled: () => {
-                outgoing.destroy();
-                end({ kind: "callerGone" });
-            },
-        });
+        const idle = watchIdle(timer, limits, () => end({ kind: "timedOut" }));
         const cancelConnect = timer.after(limits.connectTimeoutMs, () => connected || end({ kind: "unreached" }));
         request.on("socket", socket => {
             connected = !socket.connecting;
--- a/packages/entry/src/callers/idleWatch.ts
+++ b/packages/entry/src/callers/idleWatch.ts
@@ -1,7 +1,12 @@
-/** Watches for an upstream that is connected and sends nothing, and for a caller that takes nothing. */
+/**
+ * Watches for an upstream that is connected and sends nothing.
+ *
+ * While the caller takes nothing the upstream is not to blame; a caller that never takes anything again is cut off by the
+ * watcher of its connection, which ends the attempt.
+ */
 import { type Timer } from "@rattanquay/timer";
 
-type Limits = { readonly upstreamIdleTimeoutMs: number; readonly callerStallTimeoutMs: number };
+type Limits = { readonly upstreamIdleTimeoutMs: number };
 
 export type IdleWatch = {
     /** The upstream has sent something. */
@@ -15,22 +20,16 @@
 const checksPerTimeout = 10;
 const minCheckIntervalMs = 10;
 
-export function watchIdle(
-    timer: Timer,
-    limits: Limits,
-    on: { readonly upstreamIdle: () => void; readonly callerStalled: () => void },
-): IdleWatch {
+export function watchIdle(timer: Timer, { upstreamIdleTimeoutMs }: Limits, onIdle: () => void): IdleWatch {
     let sinceMs = timer.nowMs();
     let paused = false;
     const restart = (isPaused: boolean) => (): void => {
         paused = isPaused;
         sinceMs = timer.nowMs();
     };
-    const shortestMs = Math.min(limits.upstreamIdleTimeoutMs, limits.callerStallTimeoutMs);
-    const cancel = timer.every(Math.max(minCheckIntervalMs, shortestMs / checksPerTimeout), () => {
-        const limitMs = paused ? limits.callerStallTimeoutMs : limits.upstreamIdleTimeoutMs;
-        if (timer.nowMs() - sinceMs > limitMs) {
-            (paused ? on.callerStalled : on.upstreamIdle)();
+    const cancel = timer.every(Math.max(minCheckIntervalMs, upstreamIdleTimeoutMs / checksPerTimeout), () => {
+        if (!paused && timer.nowMs() - sinceMs > upstreamIdleTimeoutMs) {
+            onIdle();
         }
     });
     return { touch: restart(false), pause: restart(true), resume: restart(false), cancel };
