--- a/packages/entry/src/operators/status.ts
+++ b/packages/entry/src/operators/status.ts
@@ -37,9 +37,12 @@
             declared: declared.kind === "model"
                 ? declared.replicas[settings.process.availabilityZone] ?? 0
                 : declared.upstreams.length,
-            serving:
-                zone.groups.filter(group => group.service === service && standingOf(group.group).kind === "serving")
-                    .length,
+            // Upstreams of plain services are not probed: each that is declared is in use.
+            serving: declared.kind === "plain"
+                ? declared.upstreams.length
+                : zone.groups.filter(group =>
+                    group.service === service && standingOf(group.group).kind === "serving"
+                ).length,
         })),
         groups: zone.groups.map(group => {
             const standing = standingOf(group.group);
