--- a/packages/lab/src/experiments/index.ts
+++ b/packages/lab/src/experiments/index.ts
@@ -2,22 +2,26 @@
 import { crest } from "./crest";
 import { cut } from "./cut";
 import { complainUsage, type Experiment } from "./experiment";
+import { groupLoss } from "./groupLoss";
 import { hol } from "./hol";
 import { outcomes } from "./outcomes";
 import { overhead } from "./overhead";
 import { slopes } from "./slopes";
 import { slowReplica } from "./slowReplica";
 import { staleReports } from "./staleReports";
+import { ticket } from "./ticket";
 
 const experiments: Readonly<Record<string, Experiment>> = {
     crest,
     cut,
+    "group-loss": groupLoss,
     hol,
     outcomes,
     overhead,
     slopes,
     "slow-replica": slowReplica,
     "stale-reports": staleReports,
+    ticket,
 };
 
 /** Runs the experiment that the first argument names and prints its result as the last line. */
