--- a/packages/entry/src/operators/status.ts
+++ b/packages/entry/src/operators/status.ts
@@ -40,9 +40,8 @@
             // Upstreams of plain services are not probed: each that is declared is in use.
             serving: declared.kind === "plain"
                 ? declared.upstreams.length
-                : zone.groups.filter(group =>
-                    group.service === service && standingOf(group.group).kind === "serving"
-                ).length,
+                : zone.groups.filter(group => group.service === service && standingOf(group.group).kind === "serving")
+                    .length,
         })),
         groups: zone.groups.map(group => {
             const standing = standingOf(group.group);
