Part the process cluster and the platform stand-in into files of one job

Change: freePort, launcher and entryStarter beside processCluster; laggingList and weightStore beside the platform stand-in, whose routes are a table; the second announcement is gone. No behaviour meant to change.

--- /dev/null
+++ b/packages/lab/src/cluster/entryStarter.ts
@@ -0,0 +1,83 @@
+/** Starting the cluster's entry instances, with the ways by which they reach each other and the platform. */
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { control } from "../httpServer";
+import { makeNetwork, type Network } from "../link";
+import { type Advertised, type ClusterSpec, type EntryPorts, settingsFor, zoneNames } from "./clusterSpec";
+import { freePort } from "./freePort";
+import { type Launcher, type Member } from "./launcher";
+
+export type EntryMember = Member & { readonly availabilityZone: string; readonly ports: EntryPorts };
+
+export type EntryStarter = {
+    /** The ways that can be cut, when the spec asks for them. */
+    readonly network: Network | undefined;
+    readonly start: (id: string, availabilityZone: string, ports?: EntryPorts) => Promise<EntryMember>;
+};
+
+const maxSeeds = 6;
+
+export async function makeEntryStarter(
+    spec: ClusterSpec,
+    launcher: Launcher,
+    platformPort: number,
+): Promise<EntryStarter> {
+    const network = spec.cuttable ? makeNetwork(zoneNames) : undefined;
+    const platformPorts = new Map<string, number>();
+    for (const zone of zoneNames) {
+        platformPorts.set(zone, await network?.platformWay(zone, platformPort) ?? platformPort);
+    }
+    const waysTo = new Map<string, Advertised>();
+
+    const advertise = async (id: string, zone: string, ports: EntryPorts): Promise<Advertised> => {
+        const known = waysTo.get(id) ?? {
+            address: network?.addressOf(zone) ?? "127.0.0.1",
+            callers: await network?.wayTo(zone, ports.callers) ?? ports.callers,
+            peers: await network?.wayTo(zone, ports.peers) ?? ports.peers,
+        };
+        waysTo.set(id, known);
+        return known;
+    };
+
+    const writeSettings = (id: string, availabilityZone: string, ports: EntryPorts, advertised: Advertised): string => {
+        const file = join(launcher.folder, `${id}.json`);
+        const seeds = [...waysTo.values()].map(({ address, peers }) => `${address}:${peers}`).slice(0, maxSeeds);
+        const platformWay = platformPorts.get(availabilityZone)!;
+        const settings = settingsFor(spec, {
+            id,
+            availabilityZone,
+            platformPort: platformWay,
+            ports,
+            advertised,
+            seeds,
+        });
+        writeFileSync(file, JSON.stringify(settings, undefined, 4));
+        return file;
+    };
+
+    return {
+        network,
+        start: async (id, availabilityZone, given) => {
+            const ports = given ?? await freePorts();
+            const advertised = await advertise(id, availabilityZone, ports);
+            const child = await launcher.start({
+                name: id,
+                program: "rattanquay.cjs",
+                args: ["serve", "--settings", writeSettings(id, availabilityZone, ports, advertised)],
+                probePort: ports.operators,
+                probePath: "/healthz",
+            });
+            await control(platformPort, "/lab/entries", {
+                process: id,
+                availabilityZone,
+                peerAddress: `${advertised.address}:${advertised.peers}`,
+                callerAddress: `${advertised.address}:${advertised.callers}`,
+            });
+            return { name: id, port: ports.callers, child, availabilityZone, ports };
+        },
+    };
+}
+
+async function freePorts(): Promise<EntryPorts> {
+    return { callers: await freePort(), operators: await freePort(), peers: await freePort() };
+}
--- a/packages/lab/src/cluster/index.ts
+++ b/packages/lab/src/cluster/index.ts
@@ -11,7 +11,9 @@
 } from "./clusterSpec";
 export { checkControlHistory, type ControlSample, observe, type Observer } from "./controlHistory";
 export { type EmbeddedCluster, startEmbeddedCluster } from "./embeddedCluster";
+export { type EntryMember } from "./entryStarter";
 export { type EntrySwarmOptions, startEntrySwarm } from "./entrySwarm";
-export { type EntryMember, type ProcessCluster, startProcessCluster } from "./processCluster";
+export { type Member } from "./launcher";
+export { type ProcessCluster, startProcessCluster } from "./processCluster";
 export { runRattanquay } from "./program";
 export { until } from "./until";
--- /dev/null
+++ b/packages/lab/src/cluster/launcher.ts
@@ -0,0 +1,88 @@
+/** Starting the cluster's programs as processes of their own, and ending whatever was started. */
+import { type ChildProcess, spawn } from "node:child_process";
+import { closeSync, mkdirSync, mkdtempSync, openSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { freePort } from "./freePort";
+import { programsFolder } from "./programsFolder";
+import { until } from "./until";
+
+export type Member = { readonly name: string; readonly port: number; readonly child: ChildProcess };
+
+/** A program to start, and the path that answers once it is up. */
+export type Start = {
+    readonly name: string;
+    readonly program: string;
+    readonly args: readonly string[];
+    readonly probePort: number;
+    readonly probePath: string;
+};
+
+export type Launcher = {
+    /** Holds settings, journals and a log for each program. */
+    readonly folder: string;
+    /** Resolves when the program answers. */
+    readonly start: (start: Start) => Promise<ChildProcess>;
+    /** Starts a lab program, on a free port unless one is given. */
+    readonly startLab: (name: string, args: readonly string[], probePath: string, port?: number) => Promise<Member>;
+    readonly killAll: () => void;
+};
+
+const startTimeoutMs = 20_000;
+const probeTimeoutMs = 1_000;
+const environment = { AWS_ACCESS_KEY_ID: "lab", AWS_SECRET_ACCESS_KEY: "lab" };
+
+export function makeLauncher(): Launcher {
+    const folder = mkdtempSync(join(tmpdir(), "rattanquay-lab-"));
+    mkdirSync(join(folder, "logs"));
+    const children = new Set<ChildProcess>();
+    const killChildren = (): void => children.forEach(child => child.kill("SIGKILL"));
+    process.once("exit", killChildren);
+
+    const start = async ({ name, program, args, probePort, probePath }: Start): Promise<ChildProcess> => {
+        const log = openSync(join(folder, "logs", `${name}.log`), "a");
+        const child = spawn(process.execPath, [join(programsFolder(), program), ...args], {
+            stdio: ["ignore", log, log],
+            env: { ...process.env, ...environment },
+        });
+        closeSync(log);
+        children.add(child);
+        child.once("exit", () => children.delete(child));
+        await until(`${name} to listen`, startTimeoutMs, () => isUp(probePort, probePath));
+        return child;
+    };
+
+    return {
+        folder,
+        start,
+        startLab: async (name, args, probePath, at) => {
+            const port = at ?? await freePort();
+            const withPort = [...args, "--port", String(port)];
+            const child = await start({
+                name,
+                program: "rattanquay-lab.cjs",
+                args: withPort,
+                probePort: port,
+                probePath,
+            });
+            return { name, port, child };
+        },
+        killAll: () => {
+            killChildren();
+            process.off("exit", killChildren);
+        },
+    };
+}
+
+async function isUp(port: number, path: string): Promise<boolean> {
+    try {
+        const response = await fetch(`http://127.0.0.1:${port}${path}`, {
+            signal: AbortSignal.timeout(probeTimeoutMs),
+        });
+        await response.text();
+        return true;
+    }
+    catch {
+        return false;
+    }
+}
--- a/packages/lab/src/experiments/servingRun.ts
+++ b/packages/lab/src/experiments/servingRun.ts
@@ -4,7 +4,6 @@
 import { sleep, systemTimer } from "@rattanquay/timer";
 import { type ClusterSpec, defaultSpec, type ProcessCluster, startProcessCluster, submit, zoneNames } from "../cluster";
 import { type EngineOptions } from "../engine";
-import { control } from "../httpServer";
 import { type CallRecord, runOpenLoop } from "../load";
 import { makeSchedule, meanTokens, type ScheduledCall, seededRandom, type Workload } from "../workload";
 
@@ -79,14 +78,6 @@
         engine: shape.engine,
         settings: { policy, log: { level: "error" } },
     });
-    for (const { name, availabilityZone, ports } of cluster.entries) {
-        await control(cluster.platform.port, "/lab/entries", {
-            process: name,
-            availabilityZone,
-            peerAddress: `127.0.0.1:${ports.peers}`,
-            callerAddress: `127.0.0.1:${ports.callers}`,
-        });
-    }
     await submit(cluster.entries[0]!.ports.operators, ticketOf(shape, workload));
     await sleep(systemTimer, settleMs);
     const random = seededRandom(seed);
--- /dev/null
+++ b/packages/lab/src/platform/laggingList.ts
@@ -0,0 +1,38 @@
+import { type EntryPlace, type Instance, type InstanceList } from "@rattanquay/schema";
+import { systemTimer } from "@rattanquay/timer";
+
+/** The platform's list of instances and entry instances, which follows the truth after a while. */
+export type LaggingList = {
+    readonly published: () => InstanceList;
+    readonly putInstance: (instance: Instance) => void;
+    readonly dropInstance: (instance: string) => void;
+    readonly putEntry: (entry: EntryPlace) => void;
+};
+
+export function makeLaggingList(lagMs: number): LaggingList {
+    const instances = new Map<string, Instance>();
+    const entries = new Map<string, EntryPlace>();
+    let published: InstanceList = { instances: [], entries: [] };
+
+    const publishLater = (): void => {
+        systemTimer.after(lagMs, () => {
+            published = { instances: [...instances.values()], entries: [...entries.values()] };
+        });
+    };
+
+    return {
+        published: () => published,
+        putInstance: instance => {
+            instances.set(instance.instance, instance);
+            publishLater();
+        },
+        dropInstance: instance => {
+            instances.delete(instance);
+            publishLater();
+        },
+        putEntry: entry => {
+            entries.set(entry.process, entry);
+            publishLater();
+        },
+    };
+}
--- a/packages/lab/src/platform/platformStandIn.ts
+++ b/packages/lab/src/platform/platformStandIn.ts
@@ -1,9 +1,11 @@
 /** The platform as one HTTP server, with the faults that the platform is known for. */
-import { type EntryPlace, type Instance } from "@rattanquay/schema";
+import { EntryPlace, Instance } from "@rattanquay/schema";
 import { sleep, systemTimer } from "@rattanquay/timer";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { listen, readText, sendJson, type StandIn } from "../httpServer";
+import { type LaggingList, makeLaggingList } from "./laggingList";
 import { MemoryTable } from "./memoryTable";
+import { makeWeightStore, type WeightStore } from "./weightStore";
 
 /** What is wrong with the platform now. Shares are probabilities in [0, 1]. */
 export type PlatformFault = {
@@ -21,132 +23,107 @@
     readonly weightBytesPerSecond?: number;
 };
 
-export type PlatformStandIn = StandIn & {
-    readonly setFault: (fault: PlatformFault) => void;
-    readonly putInstance: (instance: Instance) => void;
-    readonly dropInstance: (instance: string) => void;
-    readonly putEntry: (entry: EntryPlace) => void;
-    readonly counts: () => { readonly reads: number; readonly writes: number; readonly conflicts: number };
+export type PlatformStandIn =
+    & StandIn
+    & Pick<LaggingList, "putInstance" | "dropInstance" | "putEntry">
+    & {
+        readonly setFault: (fault: PlatformFault) => void;
+        readonly counts: () => { readonly reads: number; readonly writes: number; readonly conflicts: number };
+    };
+
+type Parts = {
+    readonly table: MemoryTable;
+    readonly list: LaggingList;
+    readonly weights: WeightStore;
+    fault: PlatformFault;
 };
 
+type Route = (request: IncomingMessage, response: ServerResponse, parts: Parts) => Promise<void>;
+
 const defaultListLagMs = 1_000;
 const defaultWeightBytesPerSecond = 20_000_000_000;
 
 export async function startPlatform(options: PlatformOptions = {}): Promise<PlatformStandIn> {
-    const table = new MemoryTable();
-    const instances = new Map<string, Instance>();
-    const entries = new Map<string, EntryPlace>();
-    const lagMs = options.listLagMs ?? defaultListLagMs;
-    let published: { instances: readonly Instance[]; entries: readonly EntryPlace[] } = { instances: [], entries: [] };
-    let fault: PlatformFault = {};
-    let weightFreeAtMs = 0;
-
-    const changed = (): void => {
-        systemTimer.after(lagMs, () => {
-            published = { instances: [...instances.values()], entries: [...entries.values()] };
-        });
-    };
-
-    const serveTable = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-        const operation = String(request.headers["x-amz-target"]).split(".")[1] ?? "";
-        const input = JSON.parse(await readText(request)) as never;
-        await hamper();
-        if (fault.down) {
-            response.destroy();
-            return;
-        }
-        const result = table.run(operation, input);
-        if (operation === "TransactWriteItems" && Math.random() < (fault.loseAnswers ?? 0)) {
-            response.destroy();
-            return;
-        }
-        response.writeHead(result.kind === "done" ? 200 : 400, { "content-type": "application/x-amz-json-1.0" });
-        response.end(
-            JSON.stringify(
-                result.kind === "done"
-                    ? result.body
-                    : { __type: `com.amazonaws.dynamodb.v20120810#${result.type}`, message: result.message },
-            ),
-        );
-    };
-
-    const hamper = async (): Promise<void> => {
-        if (fault.slowMs !== undefined) {
-            await sleep(systemTimer, fault.slowMs);
-        }
-    };
-
-    /** Answers when the store has given out this many bytes to the caller. */
-    const serveWeights = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-        const { bytes } = JSON.parse(await readText(request)) as { readonly bytes: number };
-        const nowMs = systemTimer.nowMs();
-        const durationMs = bytes / (options.weightBytesPerSecond ?? defaultWeightBytesPerSecond) * 1_000;
-        weightFreeAtMs = Math.max(weightFreeAtMs, nowMs) + durationMs;
-        await sleep(systemTimer, weightFreeAtMs - nowMs);
-        sendJson(response, 200, {});
-    };
-
-    const routes: Readonly<Record<string, (request: IncomingMessage, response: ServerResponse) => Promise<void>>> = {
-        "POST /": serveTable,
-        "POST /weights": serveWeights,
-        "GET /instances": async (unusedRequest, response) => {
-            await hamper();
-            if (fault.down) {
-                response.destroy();
-                return;
-            }
-            sendJson(response, 200, published);
-        },
-        "POST /lab/fault": async (request, response) => {
-            fault = JSON.parse(await readText(request)) as PlatformFault;
-            sendJson(response, 200, {});
-        },
-        "POST /lab/instances": async (request, response) => {
-            const instance = JSON.parse(await readText(request)) as Instance;
-            instances.set(instance.instance, instance);
-            changed();
-            sendJson(response, 200, {});
-        },
-        "POST /lab/entries": async (request, response) => {
-            const entry = JSON.parse(await readText(request)) as EntryPlace;
-            entries.set(entry.process, entry);
-            changed();
-            sendJson(response, 200, {});
-        },
-        "POST /lab/drop": async (request, response) => {
-            const { instance } = JSON.parse(await readText(request)) as { readonly instance: string };
-            instances.delete(instance);
-            changed();
-            sendJson(response, 200, {});
-        },
-        "GET /lab/counts": async (unusedRequest, response) => sendJson(response, 200, table.counts),
-    };
-
+    const list = makeLaggingList(options.listLagMs ?? defaultListLagMs);
+    const weights = makeWeightStore(options.weightBytesPerSecond ?? defaultWeightBytesPerSecond);
+    const parts: Parts = { table: new MemoryTable(), list, weights, fault: {} };
     const { server, port } = await listen(options.port ?? 0, (request, response, path) => {
         const route = routes[`${request.method} ${path}`];
-        return route === undefined ? sendJson(response, 404, {}) : route(request, response);
+        return route === undefined ? sendJson(response, 404, {}) : route(request, response, parts);
     });
     return {
+        ...list,
         port,
         kill: () => {
             server.close();
             server.closeAllConnections();
         },
         setFault: next => {
-            fault = next;
-        },
-        putInstance: instance => {
-            instances.set(instance.instance, instance);
-            changed();
+            parts.fault = next;
         },
-        dropInstance: instance => {
-            instances.delete(instance);
-            changed();
-        },
-        putEntry: entry => {
-            entries.set(entry.process, entry);
-            changed();
-        },
-        counts: () => table.counts,
+        counts: () => parts.table.counts,
     };
 }
+
+const routes: Readonly<Record<string, Route>> = {
+    "POST /": serveTable,
+    "POST /weights": async (request, response, { weights }) => {
+        const { bytes } = JSON.parse(await readText(request)) as { readonly bytes: number };
+        await weights.read(bytes);
+        sendJson(response, 200, {});
+    },
+    "GET /instances": async (unusedRequest, response, parts) => {
+        if (await isUp(parts, response)) {
+            sendJson(response, 200, parts.list.published());
+        }
+    },
+    "POST /lab/fault": async (request, response, parts) => {
+        parts.fault = JSON.parse(await readText(request)) as PlatformFault;
+        sendJson(response, 200, {});
+    },
+    "POST /lab/instances": async (request, response, { list }) => {
+        list.putInstance(Instance.parse(JSON.parse(await readText(request))));
+        sendJson(response, 200, {});
+    },
+    "POST /lab/entries": async (request, response, { list }) => {
+        list.putEntry(EntryPlace.parse(JSON.parse(await readText(request))));
+        sendJson(response, 200, {});
+    },
+    "POST /lab/drop": async (request, response, { list }) => {
+        const { instance } = JSON.parse(await readText(request)) as { readonly instance: string };
+        list.dropInstance(instance);
+        sendJson(response, 200, {});
+    },
+    "GET /lab/counts": async (unusedRequest, response, { table }) => sendJson(response, 200, table.counts),
+};
+
+async function serveTable(request: IncomingMessage, response: ServerResponse, parts: Parts): Promise<void> {
+    const operation = String(request.headers["x-amz-target"]).split(".")[1] ?? "";
+    const input = JSON.parse(await readText(request)) as never;
+    if (!await isUp(parts, response)) {
+        return;
+    }
+    const result = parts.table.run(operation, input);
+    if (operation === "TransactWriteItems" && Math.random() < (parts.fault.loseAnswers ?? 0)) {
+        response.destroy();
+        return;
+    }
+    const failed = result.kind === "failed";
+    response.writeHead(failed ? 400 : 200, { "content-type": "application/x-amz-json-1.0" });
+    const body = failed
+        ? { __type: `com.amazonaws.dynamodb.v20120810#${result.type}`, message: result.message }
+        : result.body;
+    response.end(JSON.stringify(body));
+}
+
+/** Whether the platform answers, after it has been as slow as it is told to be; if not, the connection is gone. */
+async function isUp(parts: Parts, response: ServerResponse): Promise<boolean> {
+    if (parts.fault.slowMs !== undefined) {
+        await sleep(systemTimer, parts.fault.slowMs);
+    }
+    if (parts.fault.down) {
+        response.destroy();
+        return false;
+    }
+    return true;
+}
