Put a changed concurrency in force at once; part what others' load is thought to be

Cause: read as a newcomer, the replica pool made its learnt concurrency limit once a service and never again, so a ticket that raised 'concurrency' or changed the target took no effect until every process was replaced. Ruled out: scaling the learnt limit (what was learnt under another target says nothing about the new one).

--- a/packages/core/src/routing/__tests__/routing.test.ts
+++ b/packages/core/src/routing/__tests__/routing.test.ts
@@ -234,4 +234,24 @@
     assert.is(dispatcher.submit(job("y", { workClass: "long" }), 0, random).kind, "queued");
 });
 
+const redeclaredCases = [
+    { name: "more concurrency", before: { concurrency: 8 }, after: { concurrency: 32 }, expected: 32 },
+    { name: "less concurrency", before: { concurrency: 32 }, after: { concurrency: 8 }, expected: 8 },
+    { name: "another target", before: { betweenTokensMs: 10 }, after: { betweenTokensMs: 200 }, expected: 8 },
+];
+for (const { name, before, after, expected } of redeclaredCases) {
+    test(`a ticket that declares ${name} is in force at once, whatever was learnt before`, () => {
+        const dispatcher = makeDispatcher({ availabilityZone: "a", routing: "twoChoices", admission: "reserved" });
+        const declare = (extra: Partial<Replica>): void =>
+            dispatcher.setReplicas("s", [replica("r", { betweenTokensMs: 50, ...extra })], 0);
+        declare(before);
+        for (let index = 0; index < 40; index++) {
+            dispatcher.submit(job(`j${index}`), index, () => 0);
+            dispatcher.release(`j${index}`, index, { kind: "answered", firstTokenMs: 1, betweenTokensMs: 100 });
+        }
+        declare(after);
+        assert.is(dispatcher.usageOf("s", 100).limit, expected);
+    });
+}
+
 test.run();
--- a/packages/core/src/routing/replicaPool.ts
+++ b/packages/core/src/routing/replicaPool.ts
@@ -3,6 +3,7 @@
 import { makeOutliers } from "./outliers";
 import { makeReplicaLoad, type ReplicaLoad } from "./replicaLoad";
 import { type Replica, type ReplicaState } from "./routingPolicies";
+import { makeSharedLoad } from "./sharedLoad";
 
 /** How an attempt fared, as far as it says something about its replica. */
 export type Account =
@@ -36,12 +37,13 @@
     readonly holdMs: () => number;
 };
 
-type Entry = { readonly load: ReplicaLoad };
-
 export function makeReplicaPool(options: PoolOptions): ReplicaPool {
-    const entries = new Map<string, Entry>();
+    const loads = new Map<string, ReplicaLoad>();
     const outliers = makeOutliers();
+    const loadOf = (replica: Replica): ReplicaLoad => loads.get(replica.replica)!;
+    const shared = makeSharedLoad({ ...options, loads: () => replicas.map(loadOf) });
     let replicas: readonly Replica[] = [];
+    let declared: Replica | undefined;
     let common: ConcurrencyLimit | undefined;
 
     /** Replicas of one service are alike: the answers of all show what each can take. */
@@ -53,31 +55,13 @@
     const places = (nowMs: number): number => {
         const usable = replicas.filter(({ replica }) => outliers.standing(replica, nowMs) === "in");
         const parts = (options.adaptive ? usable : replicas).map(replica => {
-            const entry = entries.get(replica.replica)!;
-            return { limit: limitOf(replica), recent: entry.load.recent(nowMs) };
+            return { limit: limitOf(replica), recent: loadOf(replica).recent(nowMs) };
         });
         return options.adaptive
             ? placeBudget(parts, options.peers())
             : parts.reduce((sum, { limit }) => sum + limit, 0);
     };
 
-    /** Others' work as reported, which fades towards the mean over all replicas as the report ages. */
-    const othersOf = (entry: Entry, meanCount: number, nowMs: number): number => {
-        const others = entry.load.others(nowMs);
-        const weight = others === undefined ? 0 : Math.exp(-others.ageMs / options.holdMs());
-        return meanCount + weight * ((others?.count ?? 0) - meanCount);
-    };
-
-    const totalOf = (entry: Entry, nowMs: number): number =>
-        entry.load.own() + othersOf(entry, meanOthers(nowMs), nowMs);
-
-    /**
-     * The load to choose by. Every process sees the same deviation of a replica from the mean, so each corrects its
-     * part of it only: if all corrected it in full, the load would swing from replica to replica as reports come in.
-     */
-    const shownLoad = (entry: Entry, meanCount: number, nowMs: number): number =>
-        entry.load.own() + (othersOf(entry, meanCount, nowMs) - meanCount) / options.peers();
-
     /** How much own work one replica takes: its part of the places, and one more so that all places can be used. */
     const sliceOf = (replica: Replica, spread: number, nowMs: number): number => {
         const limit = limitOf(replica);
@@ -89,52 +73,49 @@
         return options.adaptive ? sliceBy[outliers.standing(replica.replica, nowMs)]() : limit;
     };
 
-    const meanOthers = (nowMs: number): number => {
-        const counts = replicas
-            .map(({ replica }) => entries.get(replica)!.load.others(nowMs)?.count)
-            .filter(count => count !== undefined);
-        return counts.length === 0 ? 0 : counts.reduce((sum, count) => sum + count, 0) / counts.length;
-    };
-
     return {
         set: (next, nowMs) => {
             replicas = next;
-            common ??= next[0] === undefined ? undefined : limitFor(next[0]);
+            // What was learnt under another declaration says nothing about this one.
+            if (next[0] !== undefined && !isDeclaredAlike(next[0], declared)) {
+                declared = next[0];
+                common = limitFor(next[0]);
+            }
             for (const replica of next) {
-                const entry = entries.get(replica.replica) ?? { load: makeReplicaLoad() };
-                entries.set(replica.replica, entry);
-                entry.load.update(replica, nowMs);
+                const load = loads.get(replica.replica) ?? makeReplicaLoad();
+                loads.set(replica.replica, load);
+                load.update(replica, nowMs);
             }
             outliers.keep(next.map(({ replica }) => replica));
-            forgetIdle(entries, new Set(next.map(({ replica }) => replica)));
+            forgetIdle(loads, new Set(next.map(({ replica }) => replica)));
         },
         replicas: () => replicas,
         candidates: nowMs => {
-            const mean = meanOthers(nowMs);
+            const mean = shared.meanOthers(nowMs);
             const spread = places(nowMs) / Math.max(1, limitOfAll());
             return replicas.flatMap(replica => {
-                const entry = entries.get(replica.replica)!;
-                const shown = shownLoad(entry, mean, nowMs);
-                const hasPlace = entry.load.own() + 1 <= sliceOf(replica, spread, nowMs);
+                const load = loadOf(replica);
+                const shown = shared.shown(load, mean, nowMs);
+                const hasPlace = load.own() + 1 <= sliceOf(replica, spread, nowMs);
                 return hasPlace
-                    ? [{ ...replica, inFlight: entry.load.own(), load: shown / Math.max(1, limitOf(replica)) }]
+                    ? [{ ...replica, inFlight: load.own(), load: shown / Math.max(1, limitOf(replica)) }]
                     : [];
             });
         },
         places,
         limit: limitOfAll,
         start: (replica, nowMs) => {
-            const entry = entries.get(replica)!;
-            entry.load.count(1, nowMs);
-            return totalOf(entry, nowMs);
+            const load = loads.get(replica)!;
+            load.count(1, nowMs);
+            return shared.total(load, shared.meanOthers(nowMs), nowMs);
         },
         end: (replica, runningAtStart, nowMs, account) => {
-            const entry = entries.get(replica);
-            if (entry === undefined) {
+            const load = loads.get(replica);
+            if (load === undefined) {
                 return;
             }
-            const runningAtEnd = totalOf(entry, nowMs);
-            entry.load.count(-1, nowMs);
+            const runningAtEnd = shared.total(load, shared.meanOthers(nowMs), nowMs);
+            load.count(-1, nowMs);
             if (account?.kind === "failed") {
                 outliers.observeFailure(replica, nowMs);
             }
@@ -144,7 +125,7 @@
                 outliers.observe(replica, account.betweenTokensMs, nowMs);
             }
         },
-        inFlightOf: replica => entries.get(replica)?.load.own() ?? 0,
+        inFlightOf: replica => loads.get(replica)?.own() ?? 0,
     };
 }
 
@@ -154,11 +135,15 @@
         : makeConcurrencyLimit({ declared: concurrency, targetMs });
 }
 
+function isDeclaredAlike(a: Replica, b: Replica | undefined): boolean {
+    return a.concurrency === b?.concurrency && a.betweenTokensMs === b.betweenTokensMs;
+}
+
 /** Work on a replica that is gone is counted until it has ended. */
-function forgetIdle(entries: Map<string, Entry>, kept: ReadonlySet<string>): void {
-    for (const [name, { load }] of entries) {
+function forgetIdle(loads: Map<string, ReplicaLoad>, kept: ReadonlySet<string>): void {
+    for (const [name, load] of loads) {
         if (!kept.has(name) && load.own() === 0) {
-            entries.delete(name);
+            loads.delete(name);
         }
     }
 }
