Take no group apart because its evidence is late

Cause: a group with a member lost for half a second beyond the age of evidence was broken up for its survivors. Ruled out: waiting for the platform's list (the 'never' baseline): silent instances would strand their groups' rest. Change: only a member without fresh evidence for 5 s gives its group's rest up. Dissolving broken groups (a new boot id, a failure, gone from the list) and repairs from spares do not wait.

--- a/packages/core/src/control/zoneControl.ts
+++ b/packages/core/src/control/zoneControl.ts
@@ -79,6 +79,8 @@
 const drainSettleMs = 3_000;
 /** A member without fresh evidence for this long is lost, not only slow to answer. */
 const lostAfterMs = 500;
+/** A member without fresh evidence for this long does not come back by itself before another group could be loaded. */
+const longLostAfterMs = 5_000;
 /** No order of an old holder arrives this long after the instance was set free. */
 const ordersExpireMs = 5_000;
 /** Judgements older than this are those of a process that was paused. */
@@ -116,6 +118,7 @@
         evidenceMaxAgeMs: options.evidenceMaxAgeMs,
         idleGroups: idleGroups(news, draining.sinceMs),
         lostInstances: missing.longerThan(lostAfterMs, nowMs),
+        longLostInstances: missing.longerThan(longLostAfterMs, nowMs),
         settledInstances: unowned.longerThan(ordersExpireMs, nowMs),
     });
 
--- a/packages/core/src/groups/planZone.ts
+++ b/packages/core/src/groups/planZone.ts
@@ -9,6 +9,7 @@
     type Action,
     type Candidate,
     freeByDomain,
+    isBeyondHope,
     isCurrent,
     isFresh,
     isProvedIdle,
@@ -88,7 +89,7 @@
 ): readonly Removal[] {
     const taken = new Set(formations.flatMap(formation => formation.members.map(member => member.instance)));
     const left = new Map([...free].map(([name, members]) => [name, without(members, taken)]));
-    const weak = view.groups.filter(group => group.state === "active" && isWeak(view, group)).map(group => ({
+    const weak = view.groups.filter(group => group.state === "active" && isBeyondHope(view, group)).map(group => ({
         group,
         survivors: group.members.filter(member => isUsable(view, member.instance)).length,
     }));
--- a/packages/core/src/groups/zoneView.ts
+++ b/packages/core/src/groups/zoneView.ts
@@ -15,6 +15,8 @@
     readonly idleGroups: ReadonlySet<string>;
     /** Members that have given no fresh evidence for longer than a pause explains. */
     readonly lostInstances: ReadonlySet<string>;
+    /** Instances without fresh evidence for so long that late answers alone hardly explain it. */
+    readonly longLostInstances: ReadonlySet<string>;
     /** Instances without an owner for so long that every order of an old holder has expired. */
     readonly settledInstances: ReadonlySet<string>;
     readonly nowMs: number;
@@ -58,6 +60,14 @@
     return group.members.some(member => view.lostInstances.has(member.instance));
 }
 
+/**
+ * Whether a member has been lost for so long that the rest of the group may be used elsewhere. A group whose evidence is
+ * merely late, as on a starved machine, comes back by itself sooner than another could be loaded in its place.
+ */
+export function isBeyondHope(view: ZoneView, group: GroupRow): boolean {
+    return group.members.some(member => view.longLostInstances.has(member.instance));
+}
+
 /** All members answer, and what they say is that the group does not serve: draining it takes nothing away. */
 export function isProvedIdle(view: ZoneView, group: GroupRow): boolean {
     return !isServing(view, group) && group.members.every(member => isFresh(view, member.instance));
