--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -16,7 +16,7 @@
             "no-var": "error",
             "prefer-const": "error",
             "one-var": ["error", "never"],
-            "max-lines-per-function": ["error", { max: 220, skipBlankLines: true, skipComments: true }],
+            "max-lines-per-function": ["error", { max: 105, skipBlankLines: true, skipComments: true }],
             "max-lines": ["error", { max: 350, skipBlankLines: true, skipComments: true }],
             "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^unused" }],
             "@typescript-eslint/consistent-type-imports": ["error", { fixStyle: "inline-type-imports" }],
