Give the hops to the platform's table spans of their own

Cause: a claimed call spends a part of its time at the platform's table, and its trace showed a hole there; the issue asks for a span for each hop. Ruled out: spans for background reads (heads, leases): they belong to no request. Change: 'table claim' and 'table settle' spans below the request's.

--- a/packages/entry/src/callers/plainClaim.ts
+++ b/packages/entry/src/callers/plainClaim.ts
@@ -5,6 +5,7 @@
 import { type Reach } from "./callerDoor";
 import { type Claim, type Settler } from "./claims";
 import { type Conclusion, type Exchange, refuse } from "./exchange";
+import { hop } from "./hop";
 import { type PlainCall } from "./plain";
 import { answerPlain, type Tried } from "./plainAnswer";
 
@@ -25,8 +26,15 @@
 ): Promise<Conclusion> {
     const { requestId, service, request } = exchange;
     const digest = digestOf([request.method, call.path, call.body.toString("base64")]);
-    const claim = await reach.claims.claim({ service, workspace: call.workspace, key, digest, requestId });
-    return (handlers[claim.kind] as Handler<Claim>)(claim, exchange, run);
+    const wanted = { service, workspace: call.workspace, key, digest, requestId };
+    const claim = await hop("table claim", exchange, reach, () => reach.claims.claim(wanted));
+    const traced = "settler" in claim ? { ...claim, settler: traceSettler(claim.settler, exchange, reach) } : claim;
+    return (handlers[traced.kind] as Handler<Claim>)(traced, exchange, run);
+}
+
+/** Late attempts come after the request's own span and have none. */
+function traceSettler(settler: Settler, exchange: Exchange, reach: Reach): Settler {
+    return { ...settler, settle: settlement => hop("table settle", exchange, reach, () => settler.settle(settlement)) };
 }
 
 type Handler<C extends Claim> = (claim: C, exchange: Exchange, run: Run) => Promise<Conclusion>;
--- a/packages/lab/src/__tests__/traces.test.ts
+++ b/packages/lab/src/__tests__/traces.test.ts
@@ -13,13 +13,14 @@
 
 const traceOf = (digit: string): string => digit.repeat(32);
 
-const call = async (path: string, digit: string, body: object): Promise<void> => {
+const call = async (path: string, digit: string, body: object, headers: Record<string, string> = {}): Promise<void> => {
     const response = await fetch(`http://127.0.0.1:${cluster.entries[0]!.callerPort}${path}`, {
         method: "POST",
         headers: {
             authorization: `Bearer ${callerKey}`,
             "content-type": "application/json",
             traceparent: `00-${traceOf(digit)}-${callerSpan}-01`,
+            ...headers,
         },
         body: JSON.stringify(body),
     });
@@ -38,6 +39,7 @@
     const messages = [{ role: "user", content: "Dropper 4 is bent." }];
     await call("/v1/chat/completions", "a", { model: "assistant", max_tokens: 3, messages });
     await call("/services/bookings/visits", "b", { heater: 9 });
+    await call("/services/bookings/visits", "c", { heater: 10 }, { "idempotency-key": "visit-10" });
     await cluster.stop();
 });
 
@@ -45,6 +47,9 @@
 
 const cases = [
     { name: "a chat completion", digit: "a", server: "POST /v1/chat/completions", client: "upstream chat" },
+    { name: "a claim", digit: "c", server: "POST /services/bookings/visits", client: "table claim" },
+    { name: "a claimed call", digit: "c", server: "POST /services/bookings/visits", client: "upstream call" },
+    { name: "a settled claim", digit: "c", server: "POST /services/bookings/visits", client: "table settle" },
     { name: "a plain call", digit: "b", server: "POST /services/bookings/visits", client: "upstream call" },
 ];
 
