--- a/packages/lab/src/experiments/overhead.ts
+++ b/packages/lab/src/experiments/overhead.ts
@@ -17,6 +17,7 @@
 import { seededRandom } from "../random";
 import { type Experiment, parseExperimentArgs, printResult } from "./experiment";
 import { processorSeconds } from "./processorTime";
+import { pickPolicies } from "./servingRun";
 
 /** What `--workload` may set. */
 const Workload = z.strictObject({
@@ -54,9 +55,12 @@
 const microsecondsPerMs = 1_000;
 
 export const overhead: Experiment = async args => {
-    const { seed, seconds = defaultSeconds, workload: given } = parseExperimentArgs(args);
+    const { seed, seconds = defaultSeconds, workload: given, policy = "chosen" } = parseExperimentArgs(args);
     const workload = Workload.parse(given ?? {});
-    const cluster = await startProcessCluster(specFor(workload));
+    const cluster = await startProcessCluster({
+        ...specFor(workload),
+        settings: { policy: pickPolicies(policy)[0]![1] },
+    });
     try {
         const targets = await findTargets(cluster);
         const pipe = await cluster.startLab("pipe", ["pipe", "--to", targets.map(({ address }) => address).join(",")]);
