Read a command's ticket file in one place

Cause: ticket diff and ticket submit read, checked and complained in the same dozen lines. Ruled out: the same for 'recall', which writes its ticket. Change: ticketFile.ts. No behaviour meant to change.

--- a/packages/cli/src/commands/ticketDiff.ts
+++ b/packages/cli/src/commands/ticketDiff.ts
@@ -1,11 +1,10 @@
-import { Ticket } from "@rattanquay/schema";
 import { differences, type KeyChange, type SubjectChange } from "../difference";
 import { exitCodes } from "../exitCodes";
-import { readJsonFile } from "../jsonFile";
 import { callOperator, operatorUsage, parseOperatorArgs } from "../operatorClient";
-import { complain, print } from "../output";
+import { print } from "../output";
 import { type Command } from "../runCommand";
 import { report } from "./report";
+import { readTicketFile } from "./ticketFile";
 
 type InForce = {
     readonly process: string;
@@ -21,12 +20,8 @@
     summary: "Show what a ticket would change in the configuration that one entry instance has in force.",
     run: async args => {
         const { connection, json, positionals: [path] } = parseOperatorArgs(args);
-        if (path === undefined) {
-            throw new Error("FILE is missing.");
-        }
-        const file = readJsonFile(path, Ticket);
-        if (file.kind === "invalid") {
-            complain(file.message);
+        const ticket = readTicketFile(path);
+        if (ticket === undefined) {
             return exitCodes.usage;
         }
         const answer = await callOperator(connection, "/v1/config");
@@ -34,11 +29,11 @@
             return report(answer, json, () => "");
         }
         const inForce = answer.body as InForce;
-        const changes = differences(file.value, inForce.subjects);
+        const changes = differences(ticket, inForce.subjects);
         print(
             json
-                ? JSON.stringify({ ticket: file.value.ticket, revision: inForce.revision, changes })
-                : render(file.value.ticket, inForce, changes),
+                ? JSON.stringify({ ticket: ticket.ticket, revision: inForce.revision, changes })
+                : render(ticket.ticket, inForce, changes),
         );
         return exitCodes.ok;
     },
--- a/packages/cli/src/commands/ticketSubmit.ts
+++ b/packages/cli/src/commands/ticketSubmit.ts
@@ -1,10 +1,9 @@
-import { Ticket, type Verdict } from "@rattanquay/schema";
+import { type Verdict } from "@rattanquay/schema";
 import { exitCodes } from "../exitCodes";
-import { readJsonFile } from "../jsonFile";
 import { callOperator, operatorUsage, parseOperatorArgs } from "../operatorClient";
-import { complain } from "../output";
 import { type Command } from "../runCommand";
 import { report } from "./report";
+import { readTicketFile } from "./ticketFile";
 
 export const ticketSubmit: Command = {
     words: "ticket submit",
@@ -12,15 +11,11 @@
     summary: "Submit a ticket. Submitting the same ticket again gives the same verdict.",
     run: async args => {
         const { connection, json, positionals: [path] } = parseOperatorArgs(args);
-        if (path === undefined) {
-            throw new Error("FILE is missing.");
-        }
-        const file = readJsonFile(path, Ticket);
-        if (file.kind === "invalid") {
-            complain(file.message);
+        const ticket = readTicketFile(path);
+        if (ticket === undefined) {
             return exitCodes.usage;
         }
-        const answer = await callOperator(connection, "/v1/tickets", file.value);
+        const answer = await callOperator(connection, "/v1/tickets", ticket);
         return report(
             answer,
             json,
