--- /dev/null
+++ b/packages/core/src/engineGroups/groupPlanner.ts
@@ -0,0 +1,301 @@
+/**
+ * Plans the engine groups: which to form, open, close and give up.
+ *
+ * A group's row is written before its first order goes out, under the lease; its name and epoch are never used again, so
+ * an order that is carried out late finds either its own group or none. A group is opened only when every member itself
+ * says that it is ready in it. Its members are free for another group only when its head is known to serve no more: the
+ * head left it, started anew, or has been gone for longer than work at it can stand still.
+ */
+import { type EngineGroup, type EngineOrder, type UpstreamRecord } from "@rattanquay/schema";
+import { chooseFormations, type Formation } from "./chooseFormations";
+import { chooseStaging } from "./chooseStaging";
+import { type AddressedEngineOrder, type FleetView, type GroupPlan, incarnationOf, type OrderResult } from "./fleetView";
+import { offersOf } from "./fleetView";
+import { joinCost } from "./joinCost";
+import { type GroupCondition, judgeEngineGroup } from "./judgeEngineGroup";
+import { type LoadBounds, type LoadLedger, makeLoadLedger } from "./loadLedger";
+
+export type GroupPlanner = {
+    readonly plan: (view: FleetView) => GroupPlan;
+    readonly noteOrder: (addressed: AddressedEngineOrder, result: OrderResult, nowMs: number) => void;
+    /** Forgets what it remembers of orders, when another process may have sent some in between. */
+    readonly reset: () => void;
+};
+
+export type PlannerOptions = {
+    /** How long work at a dead member stands still before the group counts as broken. */
+    readonly stallMs: number;
+    /** The window in which the weight store's rate is judged. */
+    readonly loadWindowMs: number;
+};
+
+/** An order is sent again when what it should bring about does not show after this time. */
+const orderRetryMs = 700;
+/** Time beyond the stall after which a vanished head surely serves no more. */
+const stallMarginMs = 300;
+/** A leaving member's group may finish its work for this long before it is taken apart. */
+const drainLimitMs = 2_500;
+/** A group that is not complete after this many times its load time is given up. */
+const joinPatience = 3;
+/** Without traffic, forming waits until no instance has registered for this long, for better packing. */
+const settleMs = 900;
+const settleLimitMs = 4_500;
+/** Epochs that one term of the lease can use. */
+const epochsPerFence = 100_000;
+
+type Memory = {
+    readonly lastModels: Map<string, string>;
+    /** Instants of orders by instance and meaning. */
+    readonly sent: Map<string, number>;
+    readonly lostSince: Map<string, number>;
+    readonly drainingSince: Map<string, number>;
+    readonly formedAt: Map<string, number>;
+    readonly released: Set<string>;
+    /** Models that instances are fetching, by incarnation. */
+    readonly staging: Map<string, { readonly model: string; readonly untilMs: number }>;
+    fence: number;
+    usedEpochs: number;
+    firstPlanAtMs: number | undefined;
+    known: number;
+    lastNewcomerAtMs: number;
+};
+
+export function makeGroupPlanner(options: PlannerOptions): GroupPlanner {
+    const memory: Memory = {
+        lastModels: new Map(),
+        sent: new Map(),
+        lostSince: new Map(),
+        drainingSince: new Map(),
+        formedAt: new Map(),
+        released: new Set(),
+        staging: new Map(),
+        fence: 0,
+        usedEpochs: 0,
+        firstPlanAtMs: undefined,
+        known: 0,
+        lastNewcomerAtMs: 0,
+    };
+    let ledger: LoadLedger | undefined;
+    const ledgerOf = (view: FleetView): LoadLedger => {
+        ledger ??= makeLoadLedger(loadBounds(view, options.loadWindowMs));
+        return ledger;
+    };
+    return {
+        plan: view => {
+            observe(view, memory);
+            const conditions = view.groups.map(group => ({ group, condition: judgeEngineGroup(group, view) }));
+            const steps = conditions.map(({ group, condition }) =>
+                stepOf(group, condition, { view, memory, options })
+            );
+            const removed = steps.flatMap(({ remove }) => remove === undefined ? [] : [remove]);
+            const gone = new Set(removed.map(({ group }) => group.group));
+            const after = { ...view, groups: view.groups.filter(({ group }) => !gone.has(group)) };
+            const form = isSettling(after, memory) ? [] : formGroups(after, memory, ledgerOf(view));
+            const stage = isSettling(after, memory)
+                ? []
+                : stageWeights({ ...after, groups: [...after.groups, ...form] }, memory, ledgerOf(view));
+            return { form, remove: removed, orders: [...steps.flatMap(({ orders }) => orders), ...stage] };
+        },
+        noteOrder: ({ upstream, order }, result, nowMs) => {
+            if (order.kind === "leave" && result === "accepted") {
+                memory.released.add(order.group);
+            }
+            if (result === "unanswered") {
+                memory.sent.set(keyOf(upstream, order), nowMs);
+            }
+        },
+        reset: () => {
+            memory.sent.clear();
+            memory.released.clear();
+            memory.lostSince.clear();
+        },
+    };
+}
+
+function loadBounds(view: FleetView, windowMs: number): LoadBounds {
+    const engine = view.services.find(({ engine: found }) => found !== undefined)?.engine;
+    return { perSecond: engine?.loadsPerSecond ?? 1, atOnce: engine?.loadsAtOnce ?? 1, windowMs };
+}
+
+/** Takes in what the records say about the past of each incarnation. */
+function observe(view: FleetView, memory: Memory): void {
+    if (view.fence !== memory.fence) {
+        memory.fence = view.fence;
+        memory.usedEpochs = 0;
+    }
+    memory.firstPlanAtMs ??= view.nowMs;
+    if (view.upstreams.size > memory.known) {
+        memory.lastNewcomerAtMs = view.nowMs;
+    }
+    memory.known = view.upstreams.size;
+    for (const record of view.upstreams.values()) {
+        const { membership, loadedModels } = record;
+        const incarnation = incarnationOf(record);
+        if (membership !== undefined && membership.state !== "joining" && loadedModels[0] !== undefined) {
+            memory.lastModels.set(incarnation, loadedModels[0]);
+        }
+        const staging = memory.staging.get(incarnation);
+        if (staging !== undefined && (record.stagedModels.includes(staging.model) || view.nowMs > staging.untilMs)) {
+            memory.staging.delete(incarnation);
+        }
+    }
+}
+
+/** Whether instances are still registering at the first start, when waiting costs nobody anything. */
+function isSettling(view: FleetView, memory: Memory): boolean {
+    const sincePlan = view.nowMs - (memory.firstPlanAtMs ?? view.nowMs);
+    return !view.hasTraffic && view.groups.length === 0
+        && view.nowMs - memory.lastNewcomerAtMs < settleMs && sincePlan < settleLimitMs;
+}
+
+type Context = { readonly view: FleetView; readonly memory: Memory; readonly options: PlannerOptions };
+type Step = { readonly orders: readonly AddressedEngineOrder[]; readonly remove?: GroupPlan["remove"][number] };
+
+const nothing: Step = { orders: [] };
+
+type ConditionHandlers = {
+    readonly [K in GroupCondition["kind"]]: (
+        group: EngineGroup,
+        condition: Extract<GroupCondition, { readonly kind: K }>,
+        context: Context,
+    ) => Step;
+};
+
+const handlers: ConditionHandlers = {
+    joining: (group, { missing }, context) => {
+        if (isOverdue(group, context)) {
+            const head = context.view.upstreams.get(group.members[0]!.id);
+            return giveUp(group, head, "it did not become complete in time", context);
+        }
+        return { orders: missing.flatMap(record => once(record, joinOrder(group), context)) };
+    },
+    complete: (group, { head }, context) => {
+        if (context.memory.drainingSince.has(group.group)) {
+            return giveUp(group, head, "closed because a member leaves", context);
+        }
+        return { orders: once(head, { kind: "open", group: group.group, epoch: group.epoch }, context) };
+    },
+    serving: () => nothing,
+    closing: (group, { head }, context) =>
+        context.memory.drainingSince.has(group.group) ? drain(group, head, context) : nothing,
+    draining: (group, { head, isServing }, context) => {
+        const { memory, view } = context;
+        memory.drainingSince.set(group.group, memory.drainingSince.get(group.group) ?? view.nowMs);
+        return isServing
+            ? {
+                orders: [
+                    ...once(head, { ...closeOrder, group: group.group, epoch: group.epoch }, context),
+                    ...drain(group, head, context).orders,
+                ],
+            }
+            : drain(group, head, context);
+    },
+    lost: (group, { head, reason }, context) => {
+        const { memory, view, options } = context;
+        const sinceMs = memory.lostSince.get(group.group) ?? view.nowMs;
+        memory.lostSince.set(group.group, sinceMs);
+        if (head.kind === "gone") {
+            const isOver = view.nowMs - sinceMs > options.stallMs + stallMarginMs;
+            return isOver ? { orders: [], remove: { group, reason } } : nothing;
+        }
+        if (head.kind === "unreachable") {
+            return nothing;
+        }
+        return giveUp(group, head.kind === "in" ? head.record : undefined, reason, context);
+    },
+};
+
+const closeOrder = { kind: "close", finishesQueue: true } as const;
+
+function stepOf(group: EngineGroup, condition: GroupCondition, context: Context): Step {
+    if (condition.kind !== "lost") {
+        context.memory.lostSince.delete(group.group);
+    }
+    const handler = handlers[condition.kind] as (group: EngineGroup, condition: GroupCondition, c: Context) => Step;
+    return handler(group, condition, context);
+}
+
+/** Takes a group apart: its head leaves first, then its row goes and its members are free. */
+function giveUp(group: EngineGroup, head: UpstreamRecord | undefined, reason: string, context: Context): Step {
+    if (head === undefined || context.memory.released.has(group.group)) {
+        return { orders: [], remove: { group, reason } };
+    }
+    return { orders: once(head, { kind: "leave", group: group.group, epoch: group.epoch }, context) };
+}
+
+/** Lets a group with a leaving member finish, for a while. */
+function drain(group: EngineGroup, head: UpstreamRecord, context: Context): Step {
+    const sinceMs = context.memory.drainingSince.get(group.group) ?? context.view.nowMs;
+    const isOver = context.view.nowMs - sinceMs > drainLimitMs || head.membership?.state === "ready";
+    return isOver ? giveUp(group, head, "a member leaves", context) : nothing;
+}
+
+function isOverdue(group: EngineGroup, { view, memory }: Context): boolean {
+    const formedAt = memory.formedAt.get(group.group) ?? view.nowMs;
+    memory.formedAt.set(group.group, formedAt);
+    const offer = offersOf(view).find(({ model }) => model.model === group.model);
+    return view.nowMs - formedAt > (offer?.model.loadMs ?? 0) * joinPatience;
+}
+
+function joinOrder({ group, epoch, model, members }: EngineGroup): EngineOrder {
+    return { kind: "join", group, epoch, model, members: members.map(({ id }) => id) };
+}
+
+function keyOf(upstream: UpstreamRecord, order: EngineOrder): string {
+    return `${incarnationOf(upstream)} ${order.kind} ${order.kind === "stage" ? order.model : order.group}`;
+}
+
+/** The order, unless it went out a moment ago. */
+function once(upstream: UpstreamRecord, order: EngineOrder, { view, memory }: Context): AddressedEngineOrder[] {
+    const key = keyOf(upstream, order);
+    if (view.nowMs - (memory.sent.get(key) ?? -Infinity) < orderRetryMs) {
+        return [];
+    }
+    memory.sent.set(key, view.nowMs);
+    return [{ upstream, order }];
+}
+
+function formGroups(view: FleetView, memory: Memory, ledger: LoadLedger): readonly EngineGroup[] {
+    const formations = chooseFormations(view, {
+        mayLoad: !view.hasTraffic,
+        lastModels: memory.lastModels,
+        isStaging: record => memory.staging.has(incarnationOf(record)),
+    });
+    return formations.map(formation => groupOf(formation, view, memory, ledger));
+}
+
+function groupOf({ offer, members }: Formation, view: FleetView, memory: Memory, ledger: LoadLedger): EngineGroup {
+    memory.usedEpochs++;
+    const epoch = view.fence * epochsPerFence + memory.usedEpochs;
+    const group = `g${epoch}`;
+    memory.formedAt.set(group, view.nowMs);
+    if (view.hasTraffic) {
+        members
+            .map(record => joinCost(record, offer, memory.lastModels))
+            .filter(({ needsLoad }) => needsLoad)
+            .forEach(({ ms }) => ledger.note(view.nowMs, ms));
+    }
+    return {
+        group,
+        epoch,
+        service: offer.service,
+        model: offer.model.model,
+        members: members.map(({ id, bornAtMs }) => ({ id, bornAtMs })),
+    };
+}
+
+function stageWeights(view: FleetView, memory: Memory, ledger: LoadLedger): readonly AddressedEngineOrder[] {
+    const chosen = chooseStaging(view, {
+        allowance: view.hasTraffic ? ledger.allowance(view.nowMs) : Infinity,
+        lastModels: memory.lastModels,
+        stagingOf: record => memory.staging.get(incarnationOf(record))?.model,
+    });
+    return chosen.map(({ record, offer }) => {
+        const { model, loadMs } = offer.model;
+        memory.staging.set(incarnationOf(record), { model, untilMs: view.nowMs + loadMs * joinPatience });
+        if (view.hasTraffic) {
+            ledger.note(view.nowMs, loadMs);
+        }
+        return { upstream: record, order: { kind: "stage", model } };
+    });
+}
--- /dev/null
+++ b/packages/core/src/engineGroups/index.ts
@@ -0,0 +1,14 @@
+/** Engine groups on the users' platform: judging, forming, opening and giving them up. */
+export { chooseFormations, type Formation, type FormationLimits, makePressures } from "./chooseFormations";
+export { chooseStaging, type Staging } from "./chooseStaging";
+export {
+    type AddressedEngineOrder,
+    type FleetView,
+    freeInstances,
+    type GroupPlan,
+    incarnationOf,
+    type OrderResult,
+} from "./fleetView";
+export { type GroupPlanner, makeGroupPlanner, type PlannerOptions } from "./groupPlanner";
+export { type GroupCondition, judgeEngineGroup } from "./judgeEngineGroup";
+export { type LoadLedger, makeLoadLedger } from "./loadLedger";
--- /dev/null
+++ b/packages/core/src/serving/routeTable.ts
@@ -0,0 +1,58 @@
+/** Finds the route, the service and the workspace of a request in one configuration. */
+import { type ServingConfig, type ServingRoute, type ServingService, type ServingWorkspace } from "@rattanquay/schema";
+
+export type RouteTable = {
+    readonly version: number;
+    readonly config: ServingConfig;
+    /** The route of the host with the longest prefix that begins the path. */
+    readonly findRoute: (host: string | undefined, path: string) => ServingRoute | undefined;
+    readonly serviceOf: (name: string) => ServingService | undefined;
+    readonly workspaceOfKey: (key: string) => ServingWorkspace | undefined;
+    readonly asksForKeys: boolean;
+};
+
+/** Prepares the look-ups of one configuration, so that each request costs a few map reads. */
+export function makeRouteTable(config: ServingConfig): RouteTable {
+    const byHost = new Map<string, ServingRoute[]>();
+    for (const route of config.routes) {
+        const host = route.hostname.toLowerCase();
+        byHost.set(host, [...byHost.get(host) ?? [], route]);
+    }
+    byHost.forEach(routes => routes.sort((a, b) => b.prefix.length - a.prefix.length));
+    const services = new Map(config.services.map(service => [service.service, service]));
+    const workspaces = new Map(
+        (config.workspaces ?? []).flatMap(workspace => workspace.keys.map(key => [key, workspace] as const)),
+    );
+    return {
+        version: config.version,
+        config,
+        findRoute: (host, path) =>
+            byHost.get(hostname(host ?? ""))?.find(route => pathOf(path).startsWith(route.prefix)),
+        serviceOf: name => services.get(name),
+        workspaceOfKey: key => workspaces.get(key),
+        asksForKeys: config.workspaces !== undefined,
+    };
+}
+
+/** The host without its port. */
+function hostname(host: string): string {
+    return host.replace(/:\d+$/, "").toLowerCase();
+}
+
+function pathOf(target: string): string {
+    const query = target.indexOf("?");
+    return query < 0 ? target : target.slice(0, query);
+}
+
+/** Chooses the service for one request by the targets' weights; `random` is in [0, 1). */
+export function chooseService(route: ServingRoute, random: number): string | undefined {
+    const total = route.targets.reduce((sum, { weight }) => sum + weight, 0);
+    let left = random * total;
+    for (const { service, weight } of route.targets) {
+        left -= weight;
+        if (left < 0) {
+            return service;
+        }
+    }
+    return route.targets.at(-1)?.service;
+}
--- /dev/null
+++ b/packages/core/src/serving/upstreamLoad.ts
@@ -0,0 +1,74 @@
+/**
+ * What one entry instance knows about the load of one upstream: its own requests exactly, the others' by what the
+ * upstream said last and by what peers said, both aging.
+ */
+
+/** What an upstream said about itself with an answer. */
+export type LoadReport = { readonly running: number; readonly waiting: number; readonly slots: number };
+
+export type UpstreamLoad = {
+    readonly start: () => void;
+    readonly end: () => void;
+    readonly noteReport: (report: LoadReport, nowMs: number) => void;
+    /** Requests of other instances, by their own word. */
+    readonly notePeers: (running: number, nowMs: number) => void;
+    /** Something came from the upstream: an event, an answer. */
+    readonly noteProgress: (nowMs: number) => void;
+    /** Nothing came though something was due, or it refused: others are asked first for a while. */
+    readonly noteStall: (nowMs: number) => void;
+    readonly forgetStall: () => void;
+    /** When something came from it last. */
+    readonly progressAtMs: () => number;
+    readonly own: () => number;
+    /** Requests at the upstream, own and others'. */
+    readonly estimate: (nowMs: number) => number;
+    readonly isStalled: (nowMs: number) => boolean;
+};
+
+/** How long what an upstream said of others' requests is worth something: about as long as a request lasts. */
+const reportFadesMs = 1_500;
+const peersFadeMs = 1_000;
+/** A doubted upstream is tried again after this time, for it may have recovered with nobody asking it. */
+const stallForgottenMs = 4_000;
+
+export function makeUpstreamLoad(): UpstreamLoad {
+    let own = 0;
+    let others = { count: 0, atMs: -Infinity };
+    let peers = { count: 0, atMs: -Infinity };
+    let stalledAtMs = -Infinity;
+    let progressAtMs = -Infinity;
+    const faded = ({ count, atMs }: { count: number; atMs: number }, fadesMs: number, nowMs: number): number =>
+        count * Math.max(0, 1 - (nowMs - atMs) / fadesMs);
+    return {
+        start: () => {
+            own++;
+        },
+        end: () => {
+            own--;
+        },
+        noteReport: ({ running, waiting }, nowMs) => {
+            others = { count: Math.max(0, running + waiting - own), atMs: nowMs };
+        },
+        notePeers: (running, nowMs) => {
+            peers = { count: running, atMs: nowMs };
+        },
+        noteProgress: nowMs => {
+            progressAtMs = nowMs;
+            stalledAtMs = -Infinity;
+        },
+        noteStall: nowMs => {
+            stalledAtMs = nowMs;
+        },
+        forgetStall: () => {
+            stalledAtMs = -Infinity;
+        },
+        progressAtMs: () => progressAtMs,
+        own: () => own,
+        estimate: nowMs => {
+            const reported = faded(others, reportFadesMs, nowMs);
+            const said = nowMs - peers.atMs < peersFadeMs ? peers.count : 0;
+            return own + Math.max(reported, said);
+        },
+        isStalled: nowMs => nowMs - stalledAtMs < stallForgottenMs,
+    };
+}
--- a/packages/entry/src/config/readConfig.ts
+++ b/packages/entry/src/config/readConfig.ts
@@ -1,6 +1,6 @@
 /** Reads the configuration from the platform's table. */
 import { foldRows, type Snapshot } from "@rattanquay/core";
-import { type Table } from "@rattanquay/platform";
+import { type Table } from "@rattanquay/table";
 import { HeadRow, SubjectRow } from "@rattanquay/schema";
 import { configPartition, headKey } from "../rowKeys";
 
--- a/packages/entry/src/fleet/fleetTask.ts
+++ b/packages/entry/src/fleet/fleetTask.ts
@@ -11,7 +11,7 @@
     makeEvidenceBook,
     type Snapshot,
 } from "@rattanquay/core";
-import { type Stored } from "@rattanquay/platform";
+import { type Stored } from "@rattanquay/table";
 import { type EvidenceNews, GroupRow, type InstanceList, type PassedZone } from "@rattanquay/schema";
 import { type Feed, type Mailbox, makeSource, type Source, startTask } from "@rattanquay/task";
 import { type Surroundings } from "../surroundings";
--- a/packages/entry/src/fleet/readZone.ts
+++ b/packages/entry/src/fleet/readZone.ts
@@ -1,4 +1,4 @@
-import { type Stored } from "@rattanquay/platform";
+import { type Stored } from "@rattanquay/table";
 import { zoneHeadKey, zonePartition } from "../rowKeys";
 import { type Surroundings } from "../surroundings";
 import { noHead } from "./zoneKnowledge";
--- a/packages/entry/src/fleet/zoneKnowledge.ts
+++ b/packages/entry/src/fleet/zoneKnowledge.ts
@@ -1,5 +1,5 @@
 import { type Evidence, type Finding, type Standing } from "@rattanquay/core";
-import { type Stored } from "@rattanquay/platform";
+import { type Stored } from "@rattanquay/table";
 import { type EntryPlace, type GroupRow, type Instance } from "@rattanquay/schema";
 
 /** A zone as one process knows it at one instant. */
--- a/packages/entry/src/operators/ticketStatus.ts
+++ b/packages/entry/src/operators/ticketStatus.ts
@@ -1,5 +1,5 @@
 /** Where an accepted ticket is in force. */
-import { type Table } from "@rattanquay/platform";
+import { type Table } from "@rattanquay/table";
 import { type Progress } from "@rattanquay/schema";
 import { type Peers } from "../peers";
 import { readTicket } from "../tickets";
--- a/packages/entry/src/surroundings.ts
+++ b/packages/entry/src/surroundings.ts
@@ -1,5 +1,5 @@
 /** What every task of an entry instance is given. */
-import { type InstanceSource, type Table } from "@rattanquay/platform";
+import { type InstanceSource, type Table } from "@rattanquay/table";
 import { type Settings } from "@rattanquay/schema";
 import { type Log, type Metrics, type Tracing } from "@rattanquay/telemetry";
 import { type Timer } from "@rattanquay/timer";
--- a/packages/entry/src/tickets/ground.ts
+++ b/packages/entry/src/tickets/ground.ts
@@ -1,6 +1,6 @@
 /** What must be read before a ticket can be judged, and the transaction that accepts it. */
 import { type Acceptance, type Ground, isSpentTombstone, slotOf, tombstoneCandidates } from "@rattanquay/core";
-import { type Table, type TableOutcome } from "@rattanquay/platform";
+import { type Table, type TableOutcome } from "@rattanquay/table";
 import {
     HeadRow,
     SlotRow,
--- a/packages/entry/src/tickets/ticketStore.ts
+++ b/packages/entry/src/tickets/ticketStore.ts
@@ -1,6 +1,6 @@
 /** Accepting tickets in the platform's table: one transaction each, lost answers settled by reading back. */
 import { decideTicket } from "@rattanquay/core";
-import { type Table, type TableOutcome } from "@rattanquay/platform";
+import { type Table, type TableOutcome } from "@rattanquay/table";
 import { type Ticket, TicketRow, type Verdict } from "@rattanquay/schema";
 import { randomUUID } from "node:crypto";
 import { ticketKey, ticketPartition } from "../rowKeys";
--- /dev/null
+++ b/packages/gateway/src/control/prober.ts
@@ -0,0 +1,67 @@
+/**
+ * Asks engine instances how they are, and judges which do not answer.
+ *
+ * Answers the load in which instances die without a sign: their entries lapse only after several heartbeats. If most
+ * instances are silent at once it is this process that is cut off, and nobody is judged.
+ */
+import { type EngineReport, type UpstreamRecord } from "@rattanquay/schema";
+import { type EngineControl } from "../ports";
+import { type Log } from "@rattanquay/telemetry";
+import { type Timer } from "@rattanquay/timer";
+
+export type Prober = {
+    /** Asks all that are due; resolves when the answers are in. */
+    readonly probe: (records: readonly UpstreamRecord[]) => void;
+    readonly unreachable: () => ReadonlySet<string>;
+    readonly reportOf: (id: string) => EngineReport | undefined;
+    readonly forget: () => void;
+};
+
+/** An instance that does not answer within this time, many times the way to it, counts as silent. */
+const probeTimeoutMs = 300;
+const probeEveryMs = 400;
+/** Silences in a row that make an instance unreachable. */
+const silencesToDoubt = 2;
+/** If more than this part of the instances is silent, the fault is on this side. */
+const ownFaultShare = 0.5;
+
+type Probed = { askedAtMs: number; silences: number; isAsking: boolean; report: EngineReport | undefined };
+
+export function makeProber(engines: EngineControl, timer: Timer, log: Log): Prober {
+    const probed = new Map<string, Probed>();
+    const ask = async (record: UpstreamRecord, entry: Probed): Promise<void> => {
+        entry.askedAtMs = timer.nowMs();
+        entry.isAsking = true;
+        const report = await engines.report(record, probeTimeoutMs);
+        entry.isAsking = false;
+        entry.report = report ?? entry.report;
+        const before = entry.silences;
+        entry.silences = report === undefined ? before + 1 : 0;
+        if (before < silencesToDoubt && entry.silences >= silencesToDoubt) {
+            log.warn("engineSilent", { upstream: record.id, silences: entry.silences });
+        }
+        if (before >= silencesToDoubt && entry.silences === 0) {
+            log.info("engineAnswers", { upstream: record.id });
+        }
+    };
+    return {
+        probe: records => {
+            const listed = new Set(records.map(({ id }) => id));
+            [...probed.keys()].filter(id => !listed.has(id)).forEach(id => probed.delete(id));
+            for (const record of records) {
+                const entry = probed.get(record.id)
+                    ?? { askedAtMs: -Infinity, silences: 0, isAsking: false, report: undefined };
+                probed.set(record.id, entry);
+                if (!entry.isAsking && timer.nowMs() - entry.askedAtMs >= probeEveryMs) {
+                    void ask(record, entry);
+                }
+            }
+        },
+        unreachable: () => {
+            const silent = [...probed].filter(([, { silences }]) => silences >= silencesToDoubt).map(([id]) => id);
+            return new Set(silent.length > probed.size * ownFaultShare ? [] : silent);
+        },
+        reportOf: id => probed.get(id)?.report,
+        forget: () => probed.clear(),
+    };
+}
--- /dev/null
+++ b/packages/gateway/src/door/index.ts
@@ -0,0 +1,3 @@
+/** Listeners. */
+export { type CallerDoor, startCallerDoor } from "./callerDoor";
+export { startMetricsDoor, startReadinessDoor } from "./smallDoor";
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,93 @@
+/** Wires the parts of a gateway process together, and ends them in order. */
+import { makeRepeatBudget } from "@rattanquay/core";
+import { type Log } from "@rattanquay/telemetry";
+import { sleep, type Timer } from "@rattanquay/timer";
+import { startBeliefs } from "./beliefs";
+import { type Planning, startPlanning } from "./control";
+import { type CallerDoor, startCallerDoor, startMetricsDoor, startReadinessDoor } from "./door";
+import { makeStallWatch, type Reach, serveRequest } from "./exchange";
+import { type GatewayMetrics } from "./metrics";
+import { type Ports } from "./ports";
+import { type GatewaySettings } from "./settings";
+import { type Surroundings } from "./surroundings";
+import { makeUpstreamBook } from "./upstreams";
+
+export type GatewayOptions = {
+    readonly settings: GatewaySettings;
+    readonly ports: Ports;
+    readonly timer: Timer;
+    readonly log: Log;
+    readonly metrics: GatewayMetrics;
+    /** Numbers in [0, 1). */
+    readonly random: () => number;
+    /** Called when an invariant is broken; expected to end the process. */
+    readonly onBroken: (task: string, error: unknown) => void;
+};
+
+export type Gateway = {
+    readonly isReady: () => boolean;
+    /** Leaves gracefully; resolves to the number of requests that were cut at the end of the grace. */
+    readonly stop: () => Promise<{ readonly cut: number }>;
+};
+
+/** The balancer asks once a second and takes a process out after two misses; connections on their way come after that. */
+const noticeMs = 2_600;
+/** Left between the last cut and the end of the grace. */
+const graceMarginMs = 350;
+const stopCheckMs = 50;
+/** Entry instances that are assumed to share a budget before any is known. */
+const assumedInstances = 16;
+
+export async function startGateway(options: GatewayOptions): Promise<Gateway> {
+    const surroundings: Surroundings = options;
+    const { settings, timer, log, metrics } = surroundings;
+    let planning: Planning | undefined;
+    let requests = 0;
+    let leaving = false;
+    const instances = (): number => assumedInstances;
+    const watched = startBeliefs(surroundings, () => planning?.isPlanner() === true);
+    const { beliefs } = watched;
+    const book = makeUpstreamBook(beliefs);
+    const stalls = makeStallWatch(timer);
+    const budget = makeRepeatBudget(settings.bounds.repeats);
+    const reach: Reach = { surroundings, beliefs, book, budget, instances, stalls };
+    const isReady = (): boolean => !leaving && beliefs.routes() !== undefined && beliefs.knowsUpstreams();
+
+    const readiness = await startReadinessDoor(settings.listeners.readiness, isReady);
+    const metricsDoor = await startMetricsDoor(settings.listeners.metrics, () => metrics.registry.metrics());
+    const door = await startCallerDoor((request, response) => {
+        requests++;
+        return serveRequest(request, response, reach);
+    }, beliefs, surroundings);
+    planning = startPlanning(surroundings, beliefs, instances, () => requests > 0);
+    log.info("started", { instance: settings.instance, availabilityZone: settings.availabilityZone });
+
+    const stop = async (): Promise<{ readonly cut: number }> => {
+        leaving = true;
+        log.info("leaving", { inFlight: door.inFlight() });
+        const deadlineMs = timer.nowMs() + settings.bounds.graceMs - graceMarginMs;
+        await planning?.stop();
+        const cut = await leave(door, timer, deadlineMs);
+        door.close();
+        readiness.close();
+        metricsDoor.close();
+        watched.stop();
+        stalls.stop();
+        book.stop();
+        log.info("stopped", { cut });
+        return { cut };
+    };
+    return { isReady, stop };
+}
+
+/** Serves on until the balancer has noticed, then lets what runs end; resolves to what was cut. */
+async function leave(door: CallerDoor, timer: Timer, deadlineMs: number): Promise<number> {
+    door.startLeaving();
+    await sleep(timer, noticeMs);
+    door.closeIdle();
+    while (door.inFlight() + door.openConnections() > 0 && timer.nowMs() < deadlineMs) {
+        await sleep(timer, stopCheckMs);
+        door.closeIdle();
+    }
+    return door.inFlight();
+}
--- /dev/null
+++ b/packages/gateway/src/metrics.ts
@@ -0,0 +1,70 @@
+/** The metrics of a gateway process. Names and meanings: docs/reference/metrics.md. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const secondsBuckets = [0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8];
+
+export type GatewayMetrics = ReturnType<typeof makeGatewayMetrics>;
+
+export function makeGatewayMetrics() {
+    const registry = new Registry();
+    const registers = [registry];
+    return {
+        registry,
+        requests: new Counter({
+            name: "rattanquay_gateway_requests_total",
+            help: "Requests by kind and how they ended.",
+            labelNames: ["kind", "ending", "status"],
+            registers,
+        }),
+        attempts: new Counter({
+            name: "rattanquay_gateway_attempts_total",
+            help: "Sends to upstreams by kind and result.",
+            labelNames: ["kind", "result"],
+            registers,
+        }),
+        firstByte: new Histogram({
+            name: "rattanquay_gateway_first_byte_seconds",
+            help: "From a request's arrival to the first byte of its answer, by kind.",
+            labelNames: ["kind"],
+            buckets: secondsBuckets,
+            registers,
+        }),
+        storeCalls: new Counter({
+            name: "rattanquay_gateway_store_calls_total",
+            help: "Calls to the platform's store by call and outcome.",
+            labelNames: ["call", "outcome"],
+            registers,
+        }),
+        orders: new Counter({
+            name: "rattanquay_gateway_orders_total",
+            help: "Orders to engine instances by kind and result.",
+            labelNames: ["order", "result"],
+            registers,
+        }),
+        configVersion: new Gauge({
+            name: "rattanquay_gateway_config_version",
+            help: "The configuration version in force here.",
+            registers,
+        }),
+        upstreams: new Gauge({
+            name: "rattanquay_gateway_upstreams",
+            help: "Upstreams known here.",
+            registers,
+        }),
+        leaseHeld: new Gauge({
+            name: "rattanquay_gateway_planning_lease_held",
+            help: "1 while this process holds the planning lease.",
+            registers,
+        }),
+        inFlight: new Gauge({
+            name: "rattanquay_gateway_in_flight_requests",
+            help: "Requests whose answers have not wholly left this process.",
+            registers,
+        }),
+        logLinesDropped: new Counter({
+            name: "rattanquay_gateway_log_lines_dropped_total",
+            help: "Log lines left out because of the bound on their rate or a reader that does not keep up.",
+            registers,
+        }),
+    };
+}
--- /dev/null
+++ b/packages/gateway/src/upstreams/index.ts
@@ -0,0 +1,3 @@
+/** Upstreams as this process knows them. */
+export { ConnectionPool } from "./connectionPool";
+export { type KnownUpstream, makeUpstreamBook, type UpstreamBook } from "./upstreamBook";
--- a/packages/lab/src/__tests__/controlHistory.test.ts
+++ b/packages/lab/src/__tests__/controlHistory.test.ts
@@ -1,5 +1,5 @@
 /** The zone's control through separate processes under freezes, platform trouble, a dark domain, and two at once. */
-import { makeDynamoTable, type Table } from "@rattanquay/platform";
+import { makeDynamoTable, type Table } from "@rattanquay/table";
 import { sleep, systemTimer } from "@rattanquay/timer";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
--- a/packages/lab/src/cluster/controlHistory.ts
+++ b/packages/lab/src/cluster/controlHistory.ts
@@ -1,5 +1,5 @@
 /** What an observer saw of a zone's control over time, and what must hold of all of it. */
-import { type Table } from "@rattanquay/platform";
+import { type Table } from "@rattanquay/table";
 import { GroupRow, InstanceRow, leaseKey, ServerInfo, type Stored, zonePartition } from "@rattanquay/schema";
 import { sleep, systemTimer } from "@rattanquay/timer";
 import { operate } from "./clusterClient";
--- a/packages/lab/src/fakes/__tests__/ticketFuzz.test.ts
+++ b/packages/lab/src/fakes/__tests__/ticketFuzz.test.ts
@@ -1,7 +1,7 @@
 /** Racing operators and readers against one table that loses answers, under every order of events that is drawn. */
 import { type Snapshot } from "@rattanquay/core";
 import { readHead, readSnapshot, submitTicket } from "@rattanquay/entry";
-import { type Stored, type Table, type TableOutcome } from "@rattanquay/platform";
+import { type Stored, type Table, type TableOutcome } from "@rattanquay/table";
 import {
     configPartition,
     headKey,
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./peer";
 export * from "./rowKeys";
 export * from "./rows";
+export * from "./serving";
 export * from "./settings";
 export * from "./table";
 export * from "./ticket";
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -2,3 +2,4 @@
 export { type Log, makeLog, silentLog } from "./log";
 export { makeMetrics, type Metrics } from "./metrics";
 export { makeTracing, type Span, type Tracing } from "./tracing";
+export { makeStreamLog, type StreamLogOptions } from "./streamLog";
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,8 @@
-/** Bundles both programs, then makes `dist/rattanquay`: a single file with Node inside that needs nothing beside it. */
+/**
+ * Bundles both programs, then makes `dist/rattanquay`: a single file with Node inside that needs nothing beside it.
+ *
+ * `--bundle-only` leaves the single file out; `--platform` bundles only the users' platform's program, into `target/`.
+ */
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
@@ -8,8 +12,9 @@
 const seaFuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 const { version } = JSON.parse(readFileSync("package.json", "utf8"));
 
-const bundle = (entryPoint, outfile) =>
+const bundle = (entryPoint, outfile, minify = false) =>
     build({
+        minify,
         entryPoints: [entryPoint],
         outfile,
         bundle: true,
@@ -46,6 +51,10 @@
     });
 };
 
+if (process.argv.includes("--platform")) {
+    await bundle("platform/src/program.ts", "target/rattanquay.cjs", true);
+    process.exit(0);
+}
 mkdirSync("dist", { recursive: true });
 await bundle("packages/cli/src/main.ts", "dist/rattanquay.cjs");
 await bundle("packages/lab/src/main.ts", "dist/rattanquay-lab.cjs");
