Ask no head back that has left; keep an unmarked end unmarked

Change: a released group's row goes at once; takeovers are weighed before survivors are used up; nothing listening at an address frees a group; answers keep their way of ending, and broken ones are reset.

--- /dev/null
+++ b/packages/core/src/engineGroups/__tests__/fakeEngines.ts
@@ -0,0 +1,282 @@
+/**
+ * Engine instances in virtual time, as the users' pages describe them: they carry orders out at once or late, report what
+ * they are, and check what must hold whenever a head serves or an instance joins.
+ */
+import {
+    type EngineGroup,
+    type EngineOrder,
+    type EngineProfile,
+    type GroupMembership,
+    type ServingService,
+    type UpstreamRecord,
+} from "@rattanquay/schema";
+import { type OrderResult } from "../index";
+
+export const profile: EngineProfile = {
+    slots: 12,
+    memoryTokens: 1_000_000,
+    models: [
+        { model: "large", groupSize: 4, share: 0.5, pace: 1, loadMs: 16_000, warmupMs: 1_600 },
+        { model: "small", groupSize: 2, share: 0.5, pace: 0.6, loadMs: 12_000, warmupMs: 1_100 },
+    ],
+    stepMs: 7.8,
+    perRequestMs: 0.13,
+    perThousandContextMs: 0.01,
+    stepsPerPass: 5,
+    promptTokensPerMs: 45.9,
+    perMillionPairsMs: 0.43,
+    usualPromptTokens: 979,
+    usualAnswerTokens: 154,
+    reportLagMs: 200,
+    loadsPerSecond: 5,
+    loadsAtOnce: 7,
+    formationMs: 300,
+};
+
+export const services: readonly ServingService[] = [
+    { service: "assistant", healthPath: "/", maxConnections: 100, engine: profile },
+];
+
+const rejoinMs = 200;
+/** How long the store keeps the entry of an instance that fell silent. */
+const entryLapseMs = 3_600;
+
+type Engine = {
+    record: UpstreamRecord;
+    /** Dead without a sign; its entry lapses. */
+    darkSinceMs: number | undefined;
+    /** Cut off from the store and the planner; its entry lapses, and it serves on. */
+    isCut: boolean;
+    lastModel: string | undefined;
+    highestEpoch: number;
+    members: readonly string[];
+    due: { readonly atMs: number; readonly act: () => void }[];
+};
+
+export class FakeEngines {
+    nowMs = 0;
+    readonly violations: string[] = [];
+    readonly loadsAtMs: number[] = [];
+    private readonly engines = new Map<string, Engine>();
+    private readonly everReady = new Set<string>();
+
+    add(id: string, fabricDomain: string): void {
+        this.engines.set(id, {
+            record: {
+                id,
+                service: "assistant",
+                address: `${id}:1`,
+                availabilityZone: "a",
+                slots: 12,
+                isDraining: false,
+                bornAtMs: this.nowMs + 1,
+                fabricDomain,
+                stagedModels: [],
+                loadedModels: [],
+            },
+            darkSinceMs: undefined,
+            isCut: false,
+            lastModel: undefined,
+            highestEpoch: 0,
+            members: [],
+            due: [],
+        });
+    }
+
+    advance(ms: number): void {
+        this.nowMs += ms;
+        for (const engine of this.engines.values()) {
+            const ready = engine.due.filter(({ atMs }) => atMs <= this.nowMs);
+            engine.due = engine.due.filter(({ atMs }) => atMs > this.nowMs);
+            ready.forEach(({ act }) => act());
+        }
+    }
+
+    goDark(id: string): void {
+        this.engine(id).darkSinceMs = this.nowMs;
+    }
+
+    cut(id: string, isCut: boolean): void {
+        const engine = this.engine(id);
+        engine.isCut = isCut;
+        engine.darkSinceMs = isCut ? this.nowMs : undefined;
+    }
+
+    restart(id: string): void {
+        const engine = this.engine(id);
+        engine.darkSinceMs = undefined;
+        engine.due = [];
+        engine.lastModel = undefined;
+        engine.highestEpoch = 0;
+        engine.record = { ...engine.record, bornAtMs: this.nowMs + 1, loadedModels: [], membership: undefined };
+    }
+
+    drain(id: string): void {
+        this.engine(id).record = { ...this.engine(id).record, isDraining: true };
+    }
+
+    /** What the store lists: silent instances lapse after a while. */
+    records(): Map<string, UpstreamRecord> {
+        const listed = [...this.engines.values()].filter(({ darkSinceMs }) =>
+            darkSinceMs === undefined || this.nowMs - darkSinceMs < entryLapseMs
+        );
+        return new Map(listed.map(({ record }) => [record.id, record]));
+    }
+
+    unreachable(): Set<string> {
+        const silent = [...this.engines.values()].filter(({ darkSinceMs }) =>
+            darkSinceMs !== undefined && this.nowMs - darkSinceMs > 900
+        );
+        return new Set(silent.map(({ record }) => record.id));
+    }
+
+    serving(model: string): number {
+        return [...this.engines.values()].filter(({ record, darkSinceMs, members }) =>
+            record.membership?.state === "open" && record.loadedModels.includes(model) && darkSinceMs === undefined
+            && members.every(id => this.isIn(id, record.membership!))
+        ).length;
+    }
+
+    ids(): readonly string[] {
+        return [...this.engines.keys()];
+    }
+
+    isAlive(id: string): boolean {
+        return this.engine(id).darkSinceMs === undefined;
+    }
+
+    order(id: string, order: EngineOrder): OrderResult {
+        const engine = this.engines.get(id);
+        if (engine === undefined || engine.darkSinceMs !== undefined) {
+            return "unanswered";
+        }
+        return this.carryOut(engine, order);
+    }
+
+    /** Carries an order out although nobody heard of it, however late it is. */
+    orderLate(id: string, order: EngineOrder): void {
+        const engine = this.engines.get(id);
+        if (engine !== undefined && engine.darkSinceMs === undefined) {
+            this.carryOut(engine, order);
+        }
+    }
+
+    private engine(id: string): Engine {
+        return this.engines.get(id)!;
+    }
+
+    private isIn(id: string, { group, epoch }: GroupMembership): boolean {
+        const engine = this.engines.get(id);
+        return engine?.darkSinceMs === undefined && engine?.record.membership?.group === group
+            && engine.record.membership.epoch === epoch;
+    }
+
+    private carryOut(engine: Engine, order: EngineOrder): OrderResult {
+        const handlers = {
+            join: (joined: Extract<EngineOrder, { kind: "join" }>) => this.join(engine, joined),
+            open: (opened: Extract<EngineOrder, { kind: "open" }>) => this.open(engine, opened),
+            close: (closed: Extract<EngineOrder, { kind: "close" }>) => this.close(engine, closed),
+            leave: (left: Extract<EngineOrder, { kind: "leave" }>) => this.leave(engine, left),
+            stage: (staged: Extract<EngineOrder, { kind: "stage" }>) => this.stage(engine, staged.model),
+        };
+        return (handlers[order.kind] as (order: EngineOrder) => OrderResult)(order);
+    }
+
+    private join(engine: Engine, { group, epoch, model, members }: Extract<EngineOrder, { kind: "join" }>): OrderResult {
+        if (epoch < engine.highestEpoch) {
+            return "rejected";
+        }
+        const { record } = engine;
+        if (record.membership?.group === group && record.membership.epoch === epoch) {
+            return "accepted";
+        }
+        this.checkLeaving(engine);
+        engine.highestEpoch = epoch;
+        engine.members = members;
+        const { warmupMs, loadMs } = profile.models.find(offered => offered.model === model)!;
+        const staged = record.stagedModels.includes(model);
+        const ms = engine.lastModel === model ? rejoinMs : staged ? warmupMs : loadMs;
+        if (ms === loadMs) {
+            this.loadsAtMs.push(this.nowMs);
+        }
+        const membership = { group, epoch, rank: members.indexOf(record.id), state: "joining" as const };
+        engine.record = { ...record, membership, loadedModels: [] };
+        engine.due = [{
+            atMs: this.nowMs + ms,
+            act: () => {
+                engine.lastModel = model;
+                this.everReady.add(`${group}/${epoch}/${record.id}`);
+                engine.record = {
+                    ...engine.record,
+                    stagedModels: [model],
+                    loadedModels: [model],
+                    membership: { ...membership, state: "ready" },
+                };
+            },
+        }];
+        return "accepted";
+    }
+
+    /** An instance must not be taken out of a group whose head may still serve. */
+    private checkLeaving({ record }: Engine): void {
+        const { membership } = record;
+        const head = [...this.engines.values()].find(other =>
+            other.record.membership?.group === membership?.group && other.record.membership?.rank === 0
+            && other.record.membership.epoch === membership?.epoch
+        );
+        const state = head?.record.membership?.state;
+        const stillServes = head !== undefined && (head.darkSinceMs === undefined || head.isCut);
+        if (membership !== undefined && stillServes && (state === "open" || state === "closing")) {
+            this.violations.push(`${record.id} joined another group while ${membership.group} was ${state}`);
+        }
+    }
+
+    private open(engine: Engine, { group, epoch }: Extract<EngineOrder, { kind: "open" }>): OrderResult {
+        const { membership } = engine.record;
+        if (membership?.group !== group || membership.epoch !== epoch || membership.state === "joining") {
+            return "rejected";
+        }
+        const unready = engine.members.filter(id => !this.everReady.has(`${group}/${epoch}/${id}`));
+        if (unready.length > 0) {
+            this.violations.push(`${group} was opened without ${unready.join(", ")}`);
+        }
+        engine.record = { ...engine.record, membership: { ...membership, state: "open" } };
+        return "accepted";
+    }
+
+    private close(engine: Engine, { group, epoch }: Extract<EngineOrder, { kind: "close" }>): OrderResult {
+        const { membership } = engine.record;
+        if (membership?.group !== group || membership.epoch !== epoch) {
+            return "rejected";
+        }
+        engine.record = { ...engine.record, membership: { ...membership, state: "closing" } };
+        engine.due = [{
+            atMs: this.nowMs + 500,
+            act: () => engine.record = { ...engine.record, membership: { ...membership, state: "ready" } },
+        }];
+        return "accepted";
+    }
+
+    private leave(engine: Engine, { group, epoch }: Extract<EngineOrder, { kind: "leave" }>): OrderResult {
+        const { membership } = engine.record;
+        if (membership?.group !== group || membership.epoch !== epoch) {
+            return "rejected";
+        }
+        engine.due = [];
+        engine.record = { ...engine.record, membership: undefined, loadedModels: [] };
+        return "accepted";
+    }
+
+    private stage(engine: Engine, model: string): OrderResult {
+        this.loadsAtMs.push(this.nowMs);
+        const { loadMs } = profile.models.find(offered => offered.model === model)!;
+        engine.due.push({
+            atMs: this.nowMs + loadMs,
+            act: () => engine.record = { ...engine.record, stagedModels: [model] },
+        });
+        return "accepted";
+    }
+}
+
+/** The groups' rows, as the store keeps them. */
+export type Rows = Map<string, EngineGroup>;
--- a/packages/core/src/engineGroups/fleetView.ts
+++ b/packages/core/src/engineGroups/fleetView.ts
@@ -34,7 +34,14 @@
 };
 
 /** How an order was answered. */
-export type OrderResult = "accepted" | "rejected" | "unanswered";
+export type OrderResult =
+    | "accepted"
+    /** It does not fit the instance's state. */
+    | "rejected"
+    /** Nothing listens at the instance's address. */
+    | "absent"
+    /** It may have been taken, or may be carried out later. */
+    | "unanswered";
 
 /** A model of an engine service with the service's costs. */
 export type Offer = { readonly service: string; readonly engine: EngineProfile; readonly model: EngineModel };
--- a/packages/core/src/engineGroups/groupPlanner.ts
+++ b/packages/core/src/engineGroups/groupPlanner.ts
@@ -109,17 +109,16 @@
             const removed = steps.flatMap(({ remove }) => remove === undefined ? [] : [remove]);
             const gone = new Set(removed.map(({ group }) => group.group));
             const after = { ...view, groups: view.groups.filter(({ group }) => !gone.has(group)) };
+            takeOver(after, conditions, memory);
             const form = isSettling(after, memory) ? [] : formGroups(after, memory, ledgerOf(view));
             const strays = strayHeads(view).flatMap(record => leaveStray(record, { view, memory, options }));
-            takeOver({ ...after, groups: [...after.groups, ...form] }, conditions, memory);
             const stage = isSettling(after, memory)
                 ? []
                 : stageWeights({ ...after, groups: [...after.groups, ...form] }, memory, ledgerOf(view));
             return { form, remove: removed, orders: [...steps.flatMap(({ orders }) => orders), ...strays, ...stage] };
         },
         noteOrder: ({ upstream, order }, result, nowMs) => {
-            // An instance that declines to leave a group is not in it.
-            if (order.kind === "leave" && result !== "unanswered") {
+            if (order.kind === "leave" && provesLeaving(result, upstream)) {
                 memory.released.add(order.group);
             }
             if (result === "unanswered") {
@@ -136,6 +135,14 @@
     };
 }
 
+/**
+ * Whether an answer to the order to leave shows that the head serves the group no more: it left, or declined because it is
+ * not in it, or nothing runs at its address. An instance that leaves for good may stop listening before its work is done.
+ */
+function provesLeaving(result: OrderResult, { isDraining }: UpstreamRecord): boolean {
+    return result === "accepted" || result === "rejected" || (result === "absent" && !isDraining);
+}
+
 function loadBounds(view: FleetView, windowMs: number): LoadBounds {
     const engine = view.services.find(({ engine: found }) => found !== undefined)?.engine;
     return { perSecond: engine?.loadsPerSecond ?? 1, atOnce: engine?.loadsAtOnce ?? 1, windowMs };
@@ -206,7 +213,7 @@
     },
     complete: (group, { head }, context) => {
         if (context.memory.drainingSince.has(group.group)) {
-            return giveUp(group, head, "closed because a member leaves", context);
+            return giveUp(group, head, "closed for the sake of its members", context);
         }
         return { orders: once(head, { kind: "open", group: group.group, epoch: group.epoch }, context) };
     },
@@ -247,6 +254,10 @@
 const closeOrder = { kind: "close", finishesQueue: true } as const;
 
 function stepOf(group: EngineGroup, condition: GroupCondition, context: Context): Step {
+    if (context.memory.released.has(group.group)) {
+        const reason = condition.kind === "lost" ? condition.reason : "its head left";
+        return { orders: [], remove: { group, reason } };
+    }
     if (condition.kind !== "lost") {
         context.memory.lostSince.delete(group.group);
     }
@@ -262,11 +273,8 @@
     context: Context,
     mayRelease = true,
 ): Step {
-    if (context.memory.released.has(group.group) || (head === undefined && mayRelease)) {
-        return { orders: [], remove: { group, reason } };
-    }
     if (head === undefined) {
-        return nothing;
+        return mayRelease ? { orders: [], remove: { group, reason } } : nothing;
     }
     return { orders: once(head, { kind: "leave", group: group.group, epoch: group.epoch }, context) };
 }
--- a/packages/gateway/src/exchange/refusals.ts
+++ b/packages/gateway/src/exchange/refusals.ts
@@ -33,7 +33,7 @@
 ): void {
     const { status, message } = refusals[refusal];
     if (response.headersSent) {
-        response.destroy();
+        breakOff(response);
         return;
     }
     const requestId = wire.readRequest(request).requestId;
@@ -46,3 +46,9 @@
     response.writeHead(status, [...headers, "content-length", String(Buffer.byteLength(body))]);
     response.end(body);
 }
+
+/** Ends an answer that has begun so that it cannot be taken for a whole one, however its end would be marked. */
+function breakOff(response: ServerResponse): void {
+    response.socket?.resetAndDestroy();
+    response.destroy();
+}
--- a/packages/gateway/src/exchange/relays.ts
+++ b/packages/gateway/src/exchange/relays.ts
@@ -6,7 +6,7 @@
  */
 import { makeEventOrder, makeEventSplitter, type SendFailure } from "@rattanquay/core";
 import { type RequestKind } from "@rattanquay/schema";
-import { type IncomingMessage } from "node:http";
+import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type AnswerHead, type RawHeaders } from "../ports";
 import { type AttemptEnd } from "./attempt";
 import { type Job } from "./job";
@@ -20,7 +20,12 @@
     | { readonly kind: "failed"; readonly answer: KeptAnswer }
     | { readonly kind: "short"; readonly failure: SendFailure; readonly reason: string; readonly blames?: string };
 
-export type KeptAnswer = { readonly status: number; readonly headers: RawHeaders; readonly body: Buffer };
+export type KeptAnswer = {
+    readonly status: number;
+    readonly headers: RawHeaders;
+    readonly body: Buffer;
+    readonly hasMarkedEnd: boolean;
+};
 
 /** The caller's side of one answer, over all the sends that it takes. */
 export type Relay = {
@@ -43,13 +48,26 @@
 const largestKeptBytes = 262_144;
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
-/** Delivers an answer that is here whole. */
-export function deliver({ response }: Job, { status, headers, body }: KeptAnswer): void {
+/** Delivers an answer that is here whole, as far as its upstream let that be known. */
+export function deliver({ response }: Job, { status, headers, body, hasMarkedEnd }: KeptAnswer): void {
     const hasLength = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === "content-length");
-    response.writeHead(status, [...headers, ...hasLength ? [] : ["content-length", String(body.length)]]);
+    const length = hasLength || !hasMarkedEnd ? [] : ["content-length", String(body.length)];
+    writeHead(response, status, [...headers, ...length], hasMarkedEnd);
     response.end(body);
 }
 
+/**
+ * Begins an answer. One whose end its upstream did not mark is not given a mark here: what a broken connection cut short
+ * would look whole.
+ */
+function writeHead(response: ServerResponse, status: number, headers: RawHeaders, hasMarkedEnd: boolean): void {
+    if (!hasMarkedEnd) {
+        response.useChunkedEncodingByDefault = false;
+        response.shouldKeepAlive = false;
+    }
+    response.writeHead(status, [...headers]);
+}
+
 function shortBy(end: Exclude<AttemptEnd, { readonly kind: "whole" }>): SendResult {
     const handlers = {
         unreached: () => ({ kind: "short", failure: "unreached", reason: (end as { reason: string }).reason }),
@@ -85,7 +103,7 @@
                 size += bytes.length;
                 if (size > largestKeptBytes) {
                     passing = true;
-                    job.response.writeHead(head!.status, [...headers]);
+                    writeHead(job.response, head!.status, headers, head!.hasMarkedEnd);
                     hooks.onFirstByte();
                     chunks.splice(0).forEach(chunk => job.response.write(chunk));
                 }
@@ -95,12 +113,12 @@
                 if (end.kind !== "whole") {
                     return shortBy(end);
                 }
-                const { status } = head!;
+                const { status, hasMarkedEnd } = head!;
                 if (passing) {
                     job.response.end();
                     return { kind: "answered", status };
                 }
-                const answer = { status, headers, body: Buffer.concat(chunks) };
+                const answer = { status, headers, body: Buffer.concat(chunks), hasMarkedEnd };
                 if (!isSuccess(status)) {
                     return { kind: "failed", answer };
                 }
@@ -122,19 +140,20 @@
         const splitter = makeEventSplitter();
         const failing = wholeRelay(job, reach, hooks).begin();
         let isStream = false;
+        let hasMarkedEnd = true;
         let headers: RawHeaders = [];
         let status = 0;
         const start = (): void => {
             if (!hasBegun) {
                 hasBegun = true;
-                response.writeHead(status, [...headers]);
+                writeHead(response, status, headers, hasMarkedEnd);
                 hooks.onFirstByte();
             }
         };
         return {
             onHead: (head, answer) => {
                 isStream = isSuccess(head.status);
-                status = head.status;
+                ({ status, hasMarkedEnd } = head);
                 headers = reach.surroundings.ports.wire.callerHeaders(answer);
                 return failing.onHead(head, answer);
             },
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -99,6 +99,8 @@
     /** Whether it says so because another incarnation or another group is here now. */
     readonly isMisdirected: boolean;
     readonly load: LoadReport | undefined;
+    /** Whether the answer's end is marked; without it the end of the connection is the only sign of one. */
+    readonly hasMarkedEnd: boolean;
     /** Another upstream that the answer blames. */
     readonly blames: string | undefined;
 };
