Meet the peers: beliefs while the store is away, orders passed on, loads shared; refuse what would be late

Change: a first send that is predicted to be twice over its objective is refused at once, with a time to come back near the end of what callers heed; processes meet by rows in the store.

--- a/packages/core/src/engineGroups/__tests__/fakeEngines.ts
+++ b/packages/core/src/engineGroups/__tests__/fakeEngines.ts
@@ -145,6 +145,10 @@
         return this.engine(id).darkSinceMs === undefined;
     }
 
+    isCutOff(id: string): boolean {
+        return this.engine(id).isCut;
+    }
+
     order(id: string, order: EngineOrder): OrderResult {
         const engine = this.engines.get(id);
         if (engine === undefined || engine.darkSinceMs !== undefined) {
--- a/packages/core/src/engineGroups/__tests__/planner.test.ts
+++ b/packages/core/src/engineGroups/__tests__/planner.test.ts
@@ -67,13 +67,15 @@
         const { upstream, order } = addressed;
         this.sentOrders.push({ order, index: this.sentOrders.length });
         if (fate === "no") {
-            this.planner.noteOrder(addressed, this.engines.order(upstream.id, order), this.engines.nowMs);
+            const result = this.engines.order(upstream.id, order);
+            const witnesses = result === "unanswered" && !this.engines.isCutOff(upstream.id) ? 5 : 0;
+            this.planner.noteOrder(addressed, { result, witnesses }, this.engines.nowMs);
             return;
         }
         if (fate === "late") {
             this.late.push({ atMs: this.engines.nowMs + 5_000, addressed });
         }
-        this.planner.noteOrder(addressed, "unanswered", this.engines.nowMs);
+        this.planner.noteOrder(addressed, { result: "unanswered", witnesses: 0 }, this.engines.nowMs);
     }
 }
 
--- a/packages/core/src/engineGroups/groupPlanner.ts
+++ b/packages/core/src/engineGroups/groupPlanner.ts
@@ -25,11 +25,14 @@
 
 export type GroupPlanner = {
     readonly plan: (view: FleetView) => GroupPlan;
-    readonly noteOrder: (addressed: AddressedEngineOrder, result: OrderResult, nowMs: number) => void;
+    readonly noteOrder: (addressed: AddressedEngineOrder, outcome: OrderOutcome, nowMs: number) => void;
     /** Forgets what it remembers of orders, when another process may have sent some in between. */
     readonly reset: () => void;
 };
 
+/** How an order fared; `witnesses` is how many other processes passed it on and got no answer either. */
+export type OrderOutcome = { readonly result: OrderResult; readonly witnesses: number };
+
 export type PlannerOptions = {
     /** How long work at a dead member stands still before the group counts as broken. */
     readonly stallMs: number;
@@ -44,6 +47,10 @@
  * times the stall, counted only while one of them is seen: a cut that hides them all hides an intact group.
  */
 const vanishedStalls = 3;
+/** Processes that must get no answer from a head whose entry is gone, for it to count as dead and not as cut off. */
+const enoughWitnesses = 3;
+/** Time beyond the stall after which the group of a dead head has surely ended. */
+const stallMarginMs = 300;
 /** A domain's free instances are kept for a model in need for this long, while groups are being given up for it. */
 const reservationMs = 6_000;
 /** A leaving member's group may finish its work for this long before it is taken apart. */
@@ -64,6 +71,8 @@
     readonly drainingSince: Map<string, number>;
     readonly formedAt: Map<string, number>;
     readonly released: Set<string>;
+    /** Groups whose head answered nobody who asked. */
+    readonly witnessed: Set<string>;
     /** The last record of each group's head, by which it can be reached after its entry is gone. */
     readonly heads: Map<string, UpstreamRecord>;
     /** Domains whose free instances are kept for a model. */
@@ -85,6 +94,7 @@
         drainingSince: new Map(),
         formedAt: new Map(),
         released: new Set(),
+        witnessed: new Set(),
         heads: new Map(),
         reserved: new Map(),
         staging: new Map(),
@@ -117,10 +127,13 @@
                 : stageWeights({ ...after, groups: [...after.groups, ...form] }, memory, ledgerOf(view));
             return { form, remove: removed, orders: [...steps.flatMap(({ orders }) => orders), ...strays, ...stage] };
         },
-        noteOrder: ({ upstream, order }, result, nowMs) => {
+        noteOrder: ({ upstream, order }, { result, witnesses }, nowMs) => {
             if (order.kind === "leave" && provesLeaving(result, upstream)) {
                 memory.released.add(order.group);
             }
+            if (order.kind === "leave" && witnesses >= enoughWitnesses) {
+                memory.witnessed.add(order.group);
+            }
             if (result === "unanswered") {
                 memory.sent.set(keyOf(upstream, order), nowMs);
             }
@@ -128,6 +141,7 @@
         reset: () => {
             memory.sent.clear();
             memory.released.clear();
+            memory.witnessed.clear();
             memory.lostSince.clear();
             memory.drainingSince.clear();
             memory.reserved.clear();
@@ -245,7 +259,9 @@
         if (head.kind === "reborn" || head.kind === "outside") {
             return giveUp(group, undefined, reason, context);
         }
-        const isOver = head.kind === "gone" && view.nowMs - sinceMs > context.options.stallMs * vanishedStalls;
+        const { stallMs } = context.options;
+        const keptMs = memory.witnessed.has(group.group) ? stallMs + stallMarginMs : stallMs * vanishedStalls;
+        const isOver = head.kind === "gone" && view.nowMs - sinceMs > keptMs;
         const record = head.kind === "gone" ? memory.heads.get(group.group) : head.record;
         return giveUp(group, isOver ? undefined : record, reason, context, isOver);
     },
@@ -260,6 +276,7 @@
     }
     if (condition.kind !== "lost") {
         context.memory.lostSince.delete(group.group);
+        context.memory.witnessed.delete(group.group);
     }
     const handler = handlers[condition.kind] as (group: EngineGroup, condition: GroupCondition, c: Context) => Step;
     return handler(group, condition, context);
--- a/packages/core/src/engineGroups/index.ts
+++ b/packages/core/src/engineGroups/index.ts
@@ -11,6 +11,6 @@
     type OrderResult,
     strayHeads,
 } from "./fleetView";
-export { type GroupPlanner, makeGroupPlanner, type PlannerOptions } from "./groupPlanner";
+export { type GroupPlanner, makeGroupPlanner, type OrderOutcome, type PlannerOptions } from "./groupPlanner";
 export { type GroupCondition, judgeEngineGroup } from "./judgeEngineGroup";
 export { type LoadLedger, makeLoadLedger } from "./loadLedger";
--- a/packages/gateway/src/beliefs/beliefs.ts
+++ b/packages/gateway/src/beliefs/beliefs.ts
@@ -32,6 +32,8 @@
     readonly takeRemovals: (removed: readonly RemovedId[], origin: Origin) => void;
     /** Notes that all records as of a revision have been taken in; whatever is older and not among them is gone. */
     readonly takeWholeList: (records: readonly Dated<UpstreamRecord>[], asOf: number, origin: Origin) => void;
+    /** Notes that all changes up to a revision have been taken in. */
+    readonly noteAsOf: (revision: number) => void;
     /** Called with the ids that changed. */
     readonly onUpstreams: (listener: (ids: readonly string[]) => void) => void;
 };
@@ -112,6 +114,9 @@
             knowsAll = true;
             asOf = Math.max(asOf, revision);
         },
+        noteAsOf: revision => {
+            asOf = knowsAll ? Math.max(asOf, revision) : asOf;
+        },
         onUpstreams: listener => {
             listeners.add(listener);
         },
--- a/packages/gateway/src/beliefs/startBeliefs.ts
+++ b/packages/gateway/src/beliefs/startBeliefs.ts
@@ -71,8 +71,9 @@
                 const settle = (): void => beliefs.takeWholeList(records, asOf, "store");
                 (isFirst ? (action: () => void) => action() : later)(settle);
             },
-            onChanges: ({ rows, removed }) => {
+            onChanges: ({ rows, removed }, asOf) => {
                 beliefs.takeRecords(decode(rows), "store");
+                beliefs.noteAsOf(asOf);
                 const gone = [...removed, ...unreadable(rows)].map(({ key: id, revision }) => ({ id, revision }));
                 if (gone.length > 0) {
                     later(() => beliefs.takeRemovals(gone, "store"));
--- a/packages/gateway/src/beliefs/tableWatch.ts
+++ b/packages/gateway/src/beliefs/tableWatch.ts
@@ -11,14 +11,14 @@
 
 export type TableReader = {
     readonly onWhole: (rows: readonly StoredRow[], asOf: number) => void;
-    /** `afterOutageMs` is how long ago an outage ended, if lately. */
-    readonly onChanges: (changes: RowChanges) => void;
+    /** The changes, and the revision up to which they are all. */
+    readonly onChanges: (changes: RowChanges, asOf: number) => void;
 };
 
 export type TableWatch = {
     readonly stop: () => void;
-    /** When the store last answered; undefined before the first time. */
-    readonly heardAtMs: () => number | undefined;
+    /** Whether the store did not answer the last call. */
+    readonly isAway: () => boolean;
     /** When it answered again after it had not for a while. */
     readonly returnedAtMs: () => number | undefined;
 };
@@ -38,7 +38,6 @@
     const { timer, log, ports, settings, random } = surroundings;
     const { table, reader } = options;
     let running = true;
-    let heardAtMs: number | undefined;
     let returnedAtMs: number | undefined;
     let lostAtMs: number | undefined;
     let after: number | undefined;
@@ -48,7 +47,6 @@
         const nowMs = timer.nowMs();
         if (outcome.kind === "done" || outcome.kind === "historyLost") {
             failures = 0;
-            heardAtMs = nowMs;
             if (lostAtMs !== undefined) {
                 log.info("storeRegained", { table, awayMs: Math.round(nowMs - lostAtMs) });
                 returnedAtMs = nowMs;
@@ -77,7 +75,7 @@
         noteOutcome(outcome);
         if (outcome.kind === "done") {
             after = Math.max(from, outcome.stamp.storeRevision);
-            reader.onChanges(outcome.value);
+            reader.onChanges(outcome.value, after);
         }
         if (outcome.kind === "historyLost") {
             log.warn("historyLost", { table, after: from });
@@ -105,7 +103,7 @@
         stop: () => {
             running = false;
         },
-        heardAtMs: () => heardAtMs,
+        isAway: () => lostAtMs !== undefined,
         returnedAtMs: () => returnedAtMs,
     };
 }
--- a/packages/gateway/src/control/planningTask.ts
+++ b/packages/gateway/src/control/planningTask.ts
@@ -10,9 +10,10 @@
     type GroupPlanner,
     makeGroupPlanner,
 } from "@rattanquay/core";
-import { EngineGroup } from "@rattanquay/schema";
+import { EngineGroup, type EngineOrder, type UpstreamRecord } from "@rattanquay/schema";
 import { startTask } from "@rattanquay/task";
 import { type Beliefs } from "../beliefs";
+import { type PassedOrder } from "../peers";
 import { type Surroundings } from "../surroundings";
 import { type LeaseKeeper, makeLeaseKeeper } from "./leaseKeeper";
 import { makeProber } from "./prober";
@@ -27,17 +28,23 @@
 
 const tickEveryMs = 60;
 const orderTimeoutMs = 500;
+const summaryEveryMs = 1_000;
 /** Entries that one transaction may hold, less the lease's own. */
 const maxRows = 90;
 /** How fast the picture of the groups' load follows the reports. */
 const utilizationSmoothing = 0.15;
 
-export function startPlanning(
-    surroundings: Surroundings,
-    beliefs: Beliefs,
-    instances: () => number,
-    ownTraffic: () => boolean,
-): Planning {
+export type PlanningOptions = {
+    readonly surroundings: Surroundings;
+    readonly beliefs: Beliefs;
+    readonly instances: () => number;
+    /** Whether callers have asked this process for anything. */
+    readonly ownTraffic: () => boolean;
+    /** Has others send an order that this process got no answer to. */
+    readonly passOrder: (upstream: UpstreamRecord, order: EngineOrder) => Promise<PassedOrder>;
+};
+
+export function startPlanning({ surroundings, beliefs, instances, ownTraffic, passOrder }: PlanningOptions): Planning {
     const { ports, timer, log, metrics, settings, onBroken } = surroundings;
     const lease: LeaseKeeper = makeLeaseKeeper(surroundings, instances);
     const planner: GroupPlanner = makeGroupPlanner(settings.bounds);
@@ -119,24 +126,54 @@
         return false;
     };
 
+    let summaryAtMs = -Infinity;
+    /** One line a second: what serves, what is free, how busy each model is. */
+    const logSummary = (): void => {
+        const nowMs = timer.nowMs();
+        if (nowMs - summaryAtMs < summaryEveryMs || groups === undefined) {
+            return;
+        }
+        summaryAtMs = nowMs;
+        const models = [...new Set([...groups.values()].map(({ model }) => model))];
+        const perModel = models.map(model => {
+            const rows = [...groups!.values()].filter(group => group.model === model);
+            const serving = rows.filter(({ members }) => isServing(members[0]!.id)).length;
+            return { model, groups: rows.length, serving, utilization: utilization.get(model)?.toFixed(2) };
+        });
+        log.info("fleetSummary", {
+            models: perModel,
+            upstreams: beliefs.upstreams().size,
+            owned: [...groups.values()].reduce((sum, { members }) => sum + members.length, 0),
+            unreachable: prober.unreachable().size,
+            hasTraffic,
+        });
+    };
+    const isServing = (id: string): boolean => beliefs.upstreams().get(id)?.membership?.state === "open";
+
     const sendOrder = async (addressed: AddressedEngineOrder): Promise<void> => {
         const { upstream, order } = addressed;
         const { result, detail } = await ports.engines.order(upstream, order, orderTimeoutMs);
-        planner.noteOrder(addressed, result, timer.nowMs());
         metrics.orders.inc({ order: order.kind, result });
         const about = order.kind === "stage" ? { model: order.model } : { group: order.group };
         log.info("orderSent", { upstream: upstream.id, order: order.kind, ...about, result, detail });
+        if (result !== "unanswered" || order.kind !== "leave") {
+            planner.noteOrder(addressed, { result, witnesses: 0 }, timer.nowMs());
+            return;
+        }
+        const passed = await passOrder(upstream, order);
+        log.info("orderPassedOn", { upstream: upstream.id, order: order.kind, ...about, ...passed });
+        planner.noteOrder(addressed, passed, timer.nowMs());
     };
 
     const planOnce = async (): Promise<void> => {
-        const { nowMs } = { nowMs: timer.nowMs() };
         const config = beliefs.configuration();
         if (groups === undefined || config === undefined || !beliefs.knowsUpstreams()) {
             return;
         }
         observe();
+        logSummary();
         const plan = planner.plan({
-            nowMs,
+            nowMs: timer.nowMs(),
             services: config.services,
             upstreams: beliefs.upstreams(),
             groups: [...groups.values()],
--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -95,16 +95,14 @@
 
 function record({ caller, request, arrivedAtMs }: Arrival, conclusion: Conclusion, reach: Reach, decided: Decided): void {
     const { log, metrics, timer } = reach.surroundings;
-    const { ending, status, code } = conclusion;
+    const { ending, status } = conclusion;
     metrics.requests.inc({ kind: decided.route?.kind ?? "none", ending, status: String(status) });
     log.info("requestEnded", {
         requestId: caller.requestId,
         path: request.url,
         route: decided.route?.name,
         configVersion: decided.version,
-        ending,
-        code,
-        status,
+        ...conclusion,
         durationMs: Math.round(timer.nowMs() - arrivedAtMs),
     });
 }
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -16,7 +16,16 @@
 import { isStalled, type StallQuestion } from "./stalls";
 
 /** How a request ended: for the log, the metrics and whoever counts. */
-export type Conclusion = { readonly ending: Ending | "callerGone"; readonly code: string; readonly status: number };
+export type Conclusion = {
+    readonly ending: Ending | "callerGone";
+    readonly code: string;
+    readonly status: number;
+    /** Where it was sent, the last first to be blamed. */
+    readonly upstreams?: readonly string[];
+    /** From the arrival to the first byte of the answer, and what was predicted for the first send. */
+    readonly firstByteMs?: number;
+    readonly predictedMs?: number;
+};
 
 /** The final answer leaves this long before the caller stops waiting. */
 const answerMarginMs = 25;
@@ -35,11 +44,17 @@
     let unwatch: Cancel = () => undefined;
     let ended = false;
 
+    let firstByteMs: number | undefined;
+    let predictedMs: number | undefined;
+
     const relay = relays[kind](job, reach, {
-        onFirstByte: () => metrics.firstByte.observe({ kind }, (timer.nowMs() - job.arrivedAtMs) / 1_000),
+        onFirstByte: () => {
+            firstByteMs = Math.round(timer.nowMs() - job.arrivedAtMs);
+            metrics.firstByte.observe({ kind }, firstByteMs / msPerSecond);
+        },
     });
 
-    const conclude = (conclusion: Conclusion): void => {
+    const conclude = (conclusion: Pick<Conclusion, "ending" | "code" | "status">): void => {
         if (ended) {
             return;
         }
@@ -49,7 +64,7 @@
         const open = current;
         current = undefined;
         open?.abort("the request has ended");
-        onEnd(conclusion);
+        onEnd({ ...conclusion, upstreams: [...tried], firstByteMs, predictedMs });
     };
     const refuseWith = (refusal: Refusal, retryAfterMs: number): void => {
         if (ended) {
@@ -110,6 +125,11 @@
             giveUp("noUpstream");
             return;
         }
+        if (isTooLate(job, placement, sends, relay.lastEventId())) {
+            giveUp("overloaded");
+            return;
+        }
+        predictedMs ??= Math.round(placement.predictedMs);
         tried.add(placement.upstream.record.id);
         send(placement);
     };
@@ -205,6 +225,20 @@
     sendNext();
 }
 
+/**
+ * Whether a request is better refused than sent: it could not be on time, and would keep others from being so.
+ *
+ * Answers the load in which a model's groups have more to do than they can for seconds: if all are taken, all are late. A
+ * request that has run already, or of which events went out, is always carried on.
+ */
+function isTooLate({ service, route }: Job, { predictedMs }: Placement, sends: Sends, lastId: number | undefined): boolean {
+    return service.engine !== undefined && sends.mayHaveRun === 0 && lastId === undefined
+        && predictedMs > route.objectiveMs * lateFactor;
+}
+
+/** A prediction may be this much over the objective, for it is rough. */
+const lateFactor = 2;
+
 /** Requests that can still be on time go before those that cannot. */
 function priorityOf({ service, route }: Job, { predictedMs }: Placement): number | undefined {
     if (service.engine === undefined) {
@@ -216,8 +250,13 @@
 const usualPriority = 4;
 const latePriority = 7;
 
-/** When to come back: groups are formed anew within a second or two. */
+/** When to come back: as late as callers heed, since groups take seconds to form, and not all at the same moment. */
 function retryAfterMs(job: Job, { surroundings }: Reach): number {
     const leftMs = Math.max(0, job.endByMs - surroundings.timer.nowMs());
-    return Math.min(leftMs / 4, 600 + 600 * surroundings.random());
+    return leftMs * heededShare * (1 - retrySpread * surroundings.random());
 }
+
+/** Part of their time left for which callers will wait. */
+const heededShare = 0.32;
+const retrySpread = 0.4;
+const msPerSecond = 1_000;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import { type CallerDoor, startCallerDoor, startMetricsDoor, startReadinessDoor } from "./door";
 import { makeStallWatch, type Reach, serveRequest } from "./exchange";
 import { type GatewayMetrics } from "./metrics";
+import { type Peers, startPeers } from "./peers";
 import { type Ports } from "./ports";
 import { type GatewaySettings } from "./settings";
 import { type Surroundings } from "./surroundings";
@@ -35,8 +36,8 @@
 /** Left between the last cut and the end of the grace. */
 const graceMarginMs = 350;
 const stopCheckMs = 50;
-/** Entry instances that are assumed to share a budget before any is known. */
-const assumedInstances = 16;
+/** The fewest entry instances that are assumed to share a budget. */
+const assumedInstances = 8;
 
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
     const surroundings: Surroundings = options;
@@ -44,7 +45,8 @@
     let planning: Planning | undefined;
     let requests = 0;
     let leaving = false;
-    const instances = (): number => assumedInstances;
+    let peers: Peers | undefined;
+    const instances = (): number => Math.max(peers?.instances() ?? 0, assumedInstances);
     const watched = startBeliefs(surroundings, () => planning?.isPlanner() === true);
     const { beliefs } = watched;
     const book = makeUpstreamBook(beliefs);
@@ -59,7 +61,15 @@
         requests++;
         return serveRequest(request, response, reach);
     }, beliefs, surroundings);
-    planning = startPlanning(surroundings, beliefs, instances, () => requests > 0);
+    const met = await startPeers(surroundings, watched, book);
+    peers = met;
+    planning = startPlanning({
+        surroundings,
+        beliefs,
+        instances,
+        ownTraffic: () => requests > 0,
+        passOrder: met.passOrder,
+    });
     log.info("started", { instance: settings.instance, availabilityZone: settings.availabilityZone });
 
     const stop = async (): Promise<{ readonly cut: number }> => {
@@ -68,6 +78,7 @@
         const deadlineMs = timer.nowMs() + settings.bounds.graceMs - graceMarginMs;
         await planning?.stop();
         const cut = await leave(door, timer, deadlineMs);
+        await met.stop();
         door.close();
         readiness.close();
         metricsDoor.close();
--- /dev/null
+++ b/packages/gateway/src/peers/index.ts
@@ -0,0 +1,2 @@
+/** The other gateway processes. */
+export { type PassedOrder, type Peers, startPeers } from "./peers";
--- /dev/null
+++ b/packages/gateway/src/peers/peers.ts
@@ -0,0 +1,205 @@
+/**
+ * Talks to the other gateway processes: gives them what they lack, asks for what the store does not give, and passes
+ * orders on for one that cannot reach an instance itself.
+ */
+import { type OrderResult } from "@rattanquay/core";
+import { type GatewayAnswer, type GatewayAsk, type EngineOrder, type UpstreamRecord } from "@rattanquay/schema";
+import { dial, startPeerListener } from "@rattanquay/peer";
+import { type Beliefs, type Watched } from "../beliefs";
+import { type Surroundings } from "../surroundings";
+import { type UpstreamBook } from "../upstreams";
+import { type Directory, startDirectory } from "./directory";
+import { type AskHandler, type FrameLink, makeFrameLink } from "./frameLink";
+
+/** How an order fared that others passed on, and how many of them got no answer either. */
+export type PassedOrder = { readonly result: OrderResult; readonly witnesses: number };
+
+export type Peers = {
+    /** Gateway processes, this one among them. */
+    readonly instances: () => number;
+    readonly passOrder: (upstream: UpstreamRecord, order: EngineOrder) => Promise<PassedOrder>;
+    readonly stop: () => Promise<void>;
+};
+
+/** Many times the way to the farthest peer. */
+const askTimeoutMs = 500;
+/** A peer that passes an order on waits for an answer itself. */
+const passTimeoutMs = 1_200;
+const orderTimeoutMs = 500;
+/** Peers that are asked to pass an order on: that all of them are cut off with this process is unlikely. */
+const passers = 5;
+/** While the store does not answer, a peer is asked this often. */
+const beliefsEveryMs = 400;
+const loadsEveryMs = 200;
+/** Loads are told to so many peers at the usual pace, and to more of them more slowly. */
+const loadsPeersAtPace = 8;
+/** What a peer said of its loads is used for so long. */
+const loadsKeptMs = 1_000;
+
+export async function startPeers(
+    surroundings: Surroundings,
+    { beliefs, configuration, upstreams }: Watched,
+    book: UpstreamBook,
+): Promise<Peers> {
+    const { settings: { listeners, availabilityZone, instance }, timer, random, log, ports: { engines } } = surroundings;
+    const directory = startDirectory(surroundings);
+    const loads = makePeerLoads(book, timer.nowMs);
+    const handlers: { readonly [K in GatewayAsk["kind"]]: (ask: Extract<GatewayAsk, { kind: K }>) => Promise<GatewayAnswer> } = {
+        beliefs: async ask => answerBeliefs(ask, beliefs),
+        passOrder: async ({ upstream, order }) => {
+            const { result } = await engines.order(upstream, order, orderTimeoutMs);
+            log.info("orderPassed", { upstream: upstream.id, order: order.kind, result });
+            return { kind: "orderPassed", result };
+        },
+        loads: async ask => {
+            loads.take(ask);
+            return { kind: "noted" };
+        },
+    };
+    const answer: AskHandler = ask => (handlers[ask.kind] as (ask: GatewayAsk) => Promise<GatewayAnswer>)(ask);
+    const links = makeLinks(answer, surroundings);
+    const listener = listeners.peers === undefined
+        ? undefined
+        : await startPeerListener({ ...listeners.peers, onSocket: socket => makeFrameLink(socket, answer, timer) });
+
+    const syncBeliefs = async (): Promise<void> => {
+        const isAway = configuration.isAway() || upstreams.isAway();
+        const isFresh = beliefs.routes() === undefined || !beliefs.knowsUpstreams();
+        const address = chooseAddress(directory, availabilityZone, random);
+        if ((!isAway && !isFresh) || address === undefined) {
+            return;
+        }
+        const ask = { kind: "beliefs", configVersion: beliefs.routes()?.version ?? 0, asOf: beliefs.asOf() } as const;
+        const given = await links.ask(address, ask, askTimeoutMs);
+        if (given?.kind === "beliefs") {
+            takeBeliefs(given, beliefs);
+        }
+    };
+    let syncing = false;
+    const cancelSync = timer.every(beliefsEveryMs, () => {
+        if (!syncing) {
+            syncing = true;
+            void syncBeliefs().finally(() => syncing = false);
+        }
+    });
+    let round = 0;
+    const cancelLoads = timer.every(loadsEveryMs, () => {
+        const near = directory.peers().filter(peer => peer.availabilityZone === availabilityZone);
+        const rounds = Math.max(1, Math.ceil(near.length / loadsPeersAtPace));
+        round++;
+        const own = [...book.ownLoads()].map(([upstream, running]) => ({ upstream, running }));
+        near.filter((unused, index) => index % rounds === round % rounds).forEach(({ address }) => {
+            void links.ask(address, { kind: "loads", instance, loads: own }, askTimeoutMs);
+        });
+        loads.apply();
+    });
+    return {
+        instances: () => directory.peers().length + 1,
+        passOrder: async (upstream, order) => {
+            const chosen = draw(directory.peers(), passers, random);
+            const answers = await Promise.all(chosen.map(({ address }) =>
+                links.ask(address, { kind: "passOrder", upstream, order }, passTimeoutMs)
+            ));
+            const results = answers.flatMap(given => given?.kind === "orderPassed" ? [given.result] : []);
+            const result = results.find(found => found !== "unanswered") ?? "unanswered";
+            return { result, witnesses: results.filter(found => found === "unanswered").length };
+        },
+        stop: async () => {
+            cancelSync();
+            cancelLoads();
+            await directory.stop();
+            listener?.close();
+            links.stop();
+        },
+    };
+}
+
+type Links = {
+    readonly ask: (address: string, ask: GatewayAsk, timeoutMs: number) => Promise<GatewayAnswer | undefined>;
+    readonly stop: () => void;
+};
+
+/** One connection to each peer that is asked. */
+function makeLinks(answer: AskHandler, { timer }: Surroundings): Links {
+    const links = new Map<string, FrameLink>();
+    return {
+        ask: (address, ask, timeoutMs) => {
+            let link = links.get(address);
+            if (link === undefined || !link.isOpen()) {
+                link = makeFrameLink(dial(address), answer, timer);
+                links.set(address, link);
+            }
+            return link.ask(ask, timeoutMs);
+        },
+        stop: () => links.forEach(link => link.close()),
+    };
+}
+
+/** A peer of the own zone where there is one, at times another; a seed while no peer is known. */
+function chooseAddress({ peers, seeds }: Directory, zone: string, random: () => number): string | undefined {
+    const near = peers().filter(({ availabilityZone }) => availabilityZone === zone);
+    const pool = near.length > 0 && random() < nearShare ? near : peers();
+    const addresses = pool.length > 0 ? pool.map(({ address }) => address) : seeds;
+    return addresses[Math.floor(random() * addresses.length)];
+}
+
+/** Bytes between zones are dear, but a whole zone may be turned away by the store. */
+const nearShare = 0.6;
+
+function draw<T>(items: readonly T[], count: number, random: () => number): readonly T[] {
+    const left = [...items];
+    return Array.from({ length: Math.min(count, left.length) }, () =>
+        left.splice(Math.floor(random() * left.length), 1)[0]!
+    );
+}
+
+function answerBeliefs(ask: Extract<GatewayAsk, { kind: "beliefs" }>, beliefs: Beliefs): GatewayAnswer {
+    const config = beliefs.configuration();
+    return {
+        kind: "beliefs",
+        config: config !== undefined && config.version > ask.configVersion ? config : undefined,
+        isWhole: ask.asOf === 0 && beliefs.knowsUpstreams(),
+        records: beliefs.dated().filter(({ revision }) => revision > ask.asOf),
+        removals: beliefs.removals().filter(({ revision }) => revision > ask.asOf),
+        asOf: beliefs.asOf(),
+    };
+}
+
+function takeBeliefs(given: Extract<GatewayAnswer, { kind: "beliefs" }>, beliefs: Beliefs): void {
+    if (given.config !== undefined) {
+        beliefs.takeConfiguration(given.config, "peer");
+    }
+    if (given.isWhole) {
+        beliefs.takeWholeList(given.records, given.asOf, "peer");
+        return;
+    }
+    beliefs.takeRecords(given.records, "peer");
+    beliefs.takeRemovals(given.removals, "peer");
+    beliefs.noteAsOf(given.asOf);
+}
+
+/** Adds up what the peers say of their requests at each upstream. */
+function makePeerLoads(book: UpstreamBook, nowMs: () => number) {
+    type Said = { readonly atMs: number; readonly loads: Extract<GatewayAsk, { kind: "loads" }>["loads"] };
+    const said = new Map<string, Said>();
+    let told = new Set<string>();
+    return {
+        take: ({ instance, loads }: Extract<GatewayAsk, { kind: "loads" }>): void => {
+            said.set(instance, { atMs: nowMs(), loads });
+        },
+        apply: (): void => {
+            const sums = new Map<string, number>();
+            for (const [instance, { atMs, loads }] of said) {
+                if (nowMs() - atMs > loadsKeptMs) {
+                    said.delete(instance);
+                    continue;
+                }
+                loads.forEach(({ upstream, running }) => sums.set(upstream, (sums.get(upstream) ?? 0) + running));
+            }
+            const now = new Set(sums.keys());
+            told.forEach(id => now.has(id) || book.get(id)?.load.notePeers(0, nowMs()));
+            sums.forEach((running, id) => book.get(id)?.load.notePeers(running, nowMs()));
+            told = now;
+        },
+    };
+}
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./check";
 export * from "./engine";
 export * from "./fleet";
+export * from "./gatewayPeer";
 export * from "./outcome";
 export * from "./peer";
 export * from "./rowKeys";
