--- a/packages/gateway/src/control/planningTask.ts
+++ b/packages/gateway/src/control/planningTask.ts
@@ -21,10 +21,12 @@
 
 export type Planning = {
     readonly isPlanner: () => boolean;
-    readonly stop: () => Promise<void>;
+    /** Stops planning and gives the lease back. */
+    readonly release: () => Promise<void>;
+    readonly close: () => void;
 };
 
-type Message = { readonly kind: "tick" } | { readonly kind: "stop"; readonly done: () => void };
+type Message = { readonly kind: "tick" } | { readonly kind: "release"; readonly done: () => void };
 
 const tickEveryMs = 60;
 const orderTimeoutMs = 500;
@@ -210,7 +212,7 @@
                 }
                 await planOnce();
             },
-            stop: async ({ done }) => {
+            release: async ({ done }) => {
                 await lease.release();
                 done();
             },
@@ -219,9 +221,13 @@
     const cancel = timer.every(tickEveryMs, () => mailbox.sendIfIdle({ kind: "tick" }));
     return {
         isPlanner: lease.mayPlan,
-        stop: () => {
+        release: () => {
             cancel();
-            return new Promise(resolve => mailbox.send({ kind: "stop", done: resolve }));
+            return new Promise(resolve => mailbox.send({ kind: "release", done: resolve }));
+        },
+        close: () => {
+            cancel();
+            mailbox.close();
         },
     };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,8 @@
     readonly isReady: () => boolean;
     /** Leaves gracefully; resolves to the number of requests that were cut at the end of the grace. */
     readonly stop: () => Promise<{ readonly cut: number }>;
+    /** Ends everything at once, as a crash would; for tests and broken invariants. */
+    readonly kill: () => void;
 };
 
 /** The balancer asks once a second and takes a process out after two misses; connections on their way come after that. */
@@ -72,23 +74,27 @@
     });
     log.info("started", { instance: settings.instance, availabilityZone: settings.availabilityZone });
 
-    const stop = async (): Promise<{ readonly cut: number }> => {
-        leaving = true;
-        log.info("leaving", { inFlight: door.inFlight() });
-        const deadlineMs = timer.nowMs() + settings.bounds.graceMs - graceMarginMs;
-        await planning?.stop();
-        const cut = await leave(door, timer, deadlineMs);
-        await met.stop();
+    const kill = (): void => {
+        met.close();
+        planning?.close();
         door.close();
         readiness.close();
         metricsDoor.close();
         watched.stop();
         stalls.stop();
         book.stop();
+    };
+    const stop = async (): Promise<{ readonly cut: number }> => {
+        leaving = true;
+        log.info("leaving", { inFlight: door.inFlight() });
+        const deadlineMs = timer.nowMs() + settings.bounds.graceMs - graceMarginMs;
+        await Promise.all([planning?.release(), met.leave()]);
+        const cut = await leave(door, timer, deadlineMs);
+        kill();
         log.info("stopped", { cut });
         return { cut };
     };
-    return { isReady, stop };
+    return { isReady, stop, kill };
 }
 
 /** Serves on until the balancer has noticed, then lets what runs end; resolves to what was cut. */
--- a/packages/gateway/src/peers/directory.ts
+++ b/packages/gateway/src/peers/directory.ts
@@ -9,7 +9,9 @@
     readonly peers: () => readonly GatewayInstance[];
     /** Addresses that may be peers' although no row was read. */
     readonly seeds: readonly string[];
-    readonly stop: () => Promise<void>;
+    /** Takes the own row out. */
+    readonly leave: () => Promise<void>;
+    readonly stop: () => void;
 };
 
 const readEveryMs = 12_000;
@@ -59,7 +61,10 @@
     return {
         peers: () => peers,
         seeds: seeds.filter(address => address !== own),
-        stop: async () => {
+        stop: () => {
+            running = false;
+        },
+        leave: async () => {
             running = false;
             if (registered && own !== undefined) {
                 await store.write({ expected: [], put: [], remove: [at] });
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -18,7 +18,9 @@
     /** Gateway processes, this one among them. */
     readonly instances: () => number;
     readonly passOrder: (upstream: UpstreamRecord, order: EngineOrder) => Promise<PassedOrder>;
-    readonly stop: () => Promise<void>;
+    /** Takes this process out of the list, so that nobody asks it any more. */
+    readonly leave: () => Promise<void>;
+    readonly close: () => void;
 };
 
 /** Many times the way to the farthest peer. */
@@ -104,10 +106,11 @@
             const result = results.find(found => found !== "unanswered") ?? "unanswered";
             return { result, witnesses: results.filter(found => found === "unanswered").length };
         },
-        stop: async () => {
+        leave: directory.leave,
+        close: () => {
+            directory.stop();
             cancelSync();
             cancelLoads();
-            await directory.stop();
             listener?.close();
             links.stop();
         },
--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -6,3 +6,4 @@
 export * from "./platform";
 export * from "./service";
 export * from "./traces";
+export * from "./usersPlatform";
