--- a/packages/core/src/engineGroups/fleetView.ts
+++ b/packages/core/src/engineGroups/fleetView.ts
@@ -38,9 +38,7 @@
     | "accepted"
     /** It does not fit the instance's state. */
     | "rejected"
-    /** Nothing listens at the instance's address. */
-    | "absent"
-    /** It may have been taken, or may be carried out later. */
+    /** It may have been taken, or may be carried out later. A refused connection says no more: a cut can refuse them too. */
     | "unanswered";
 
 /** A model of an engine service with the service's costs. */
--- a/packages/core/src/engineGroups/groupPlanner.ts
+++ b/packages/core/src/engineGroups/groupPlanner.ts
@@ -30,7 +30,7 @@
     readonly reset: () => void;
 };
 
-/** How an order fared; `witnesses` is how many other processes passed it on and got no answer either. */
+/** How an order fared; `witnesses` is how many processes of the instance's own zone passed it on and got no answer either. */
 export type OrderOutcome = { readonly result: OrderResult; readonly witnesses: number };
 
 export type PlannerOptions = {
@@ -47,8 +47,8 @@
  * times the stall, counted only while one of them is seen: a cut that hides them all hides an intact group.
  */
 const vanishedStalls = 3;
-/** Processes that must get no answer from a head whose entry is gone, for it to count as dead and not as cut off. */
-const enoughWitnesses = 3;
+/** Processes beside a head whose entry is gone that must get no answer from it either, for it to count as dead. */
+const enoughWitnesses = 2;
 /** Time beyond the stall after which the group of a dead head has surely ended. */
 const stallMarginMs = 300;
 /** A domain's free instances are kept for a model in need for this long, while groups are being given up for it. */
@@ -71,7 +71,7 @@
     readonly drainingSince: Map<string, number>;
     readonly formedAt: Map<string, number>;
     readonly released: Set<string>;
-    /** Groups whose head answered nobody who asked. */
+    /** Groups whose head answers nobody beside it. */
     readonly witnessed: Set<string>;
     /** The last record of each group's head, by which it can be reached after its entry is gone. */
     readonly heads: Map<string, UpstreamRecord>;
@@ -128,7 +128,8 @@
             return { form, remove: removed, orders: [...steps.flatMap(({ orders }) => orders), ...strays, ...stage] };
         },
         noteOrder: ({ upstream, order }, { result, witnesses }, nowMs) => {
-            if (order.kind === "leave" && provesLeaving(result, upstream)) {
+            // An instance that declines to leave a group is not in it.
+            if (order.kind === "leave" && result !== "unanswered") {
                 memory.released.add(order.group);
             }
             if (order.kind === "leave" && witnesses >= enoughWitnesses) {
@@ -149,14 +150,6 @@
     };
 }
 
-/**
- * Whether an answer to the order to leave shows that the head serves the group no more: it left, or declined because it is
- * not in it, or nothing runs at its address. An instance that leaves for good may stop listening before its work is done.
- */
-function provesLeaving(result: OrderResult, { isDraining }: UpstreamRecord): boolean {
-    return result === "accepted" || result === "rejected" || (result === "absent" && !isDraining);
-}
-
 function loadBounds(view: FleetView, windowMs: number): LoadBounds {
     const engine = view.services.find(({ engine: found }) => found !== undefined)?.engine;
     return { perSecond: engine?.loadsPerSecond ?? 1, atOnce: engine?.loadsAtOnce ?? 1, windowMs };
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -3,7 +3,13 @@
  * orders on for one that cannot reach an instance itself.
  */
 import { type OrderResult } from "@rattanquay/core";
-import { type GatewayAnswer, type GatewayAsk, type EngineOrder, type UpstreamRecord } from "@rattanquay/schema";
+import {
+    type EngineOrder,
+    type GatewayAnswer,
+    type GatewayAsk,
+    type GatewayInstance,
+    type UpstreamRecord,
+} from "@rattanquay/schema";
 import { dial, startPeerListener } from "@rattanquay/peer";
 import { type Beliefs, type Watched } from "../beliefs";
 import { type Surroundings } from "../surroundings";
@@ -11,7 +17,7 @@
 import { type Directory, startDirectory } from "./directory";
 import { type AskHandler, type FrameLink, makeFrameLink } from "./frameLink";
 
-/** How an order fared that others passed on, and how many of them got no answer either. */
+/** How an order fared that others passed on, and how many beside the instance, in its zone, got no answer either. */
 export type PassedOrder = { readonly result: OrderResult; readonly witnesses: number };
 
 export type Peers = {
@@ -28,8 +34,9 @@
 /** A peer that passes an order on waits for an answer itself. */
 const passTimeoutMs = 1_200;
 const orderTimeoutMs = 500;
-/** Peers that are asked to pass an order on: that all of them are cut off with this process is unlikely. */
-const passers = 5;
+/** Peers that are asked to pass an order on, beside the instance and elsewhere: a cut seldom parts all of them from it. */
+const passersBeside = 4;
+const passersElsewhere = 2;
 /** While the store does not answer, a peer is asked this often. */
 const beliefsEveryMs = 400;
 const loadsEveryMs = 200;
@@ -98,13 +105,21 @@
     return {
         instances: () => directory.peers().length + 1,
         passOrder: async (upstream, order) => {
-            const chosen = draw(directory.peers(), passers, random);
-            const answers = await Promise.all(chosen.map(({ address }) =>
-                links.ask(address, { kind: "passOrder", upstream, order }, passTimeoutMs)
-            ));
-            const results = answers.flatMap(given => given?.kind === "orderPassed" ? [given.result] : []);
-            const result = results.find(found => found !== "unanswered") ?? "unanswered";
-            return { result, witnesses: results.filter(found => found === "unanswered").length };
+            const isBeside = (peer: GatewayInstance): boolean => peer.availabilityZone === upstream.availabilityZone;
+            const pass = async (peer: GatewayInstance): Promise<OrderResult | undefined> => {
+                const given = await links.ask(peer.address, { kind: "passOrder", upstream, order }, passTimeoutMs);
+                return given?.kind === "orderPassed" ? given.result : undefined;
+            };
+            const all = directory.peers();
+            const [beside, elsewhere] = await Promise.all([
+                Promise.all(draw(all.filter(isBeside), passersBeside, random).map(pass)),
+                Promise.all(draw(all.filter(peer => !isBeside(peer)), passersElsewhere, random).map(pass)),
+            ]);
+            const answered = [...beside, ...elsewhere].find(found => found === "accepted" || found === "rejected");
+            return {
+                result: answered ?? "unanswered",
+                witnesses: beside.filter(found => found === "unanswered").length,
+            };
         },
         leave: directory.leave,
         close: () => {
--- a/packages/schema/src/gatewayPeer.ts
+++ b/packages/schema/src/gatewayPeer.ts
@@ -29,7 +29,7 @@
         removals: z.array(RemovedId),
         asOf: z.number(),
     }),
-    z.object({ kind: z.literal("orderPassed"), result: z.enum(["accepted", "rejected", "absent", "unanswered"]) }),
+    z.object({ kind: z.literal("orderPassed"), result: z.enum(["accepted", "rejected", "unanswered"]) }),
     z.object({ kind: z.literal("noted") }),
 ]);
 export type GatewayAnswer = z.infer<typeof GatewayAnswer>;
