--- a/packages/core/src/engineGroups/__tests__/fakeEngines.ts
+++ b/packages/core/src/engineGroups/__tests__/fakeEngines.ts
@@ -186,7 +186,10 @@
         return (handlers[order.kind] as (order: EngineOrder) => OrderResult)(order);
     }
 
-    private join(engine: Engine, { group, epoch, model, members }: Extract<EngineOrder, { kind: "join" }>): OrderResult {
+    private join(
+        engine: Engine,
+        { group, epoch, model, members }: Extract<EngineOrder, { kind: "join" }>,
+    ): OrderResult {
         if (epoch < engine.highestEpoch) {
             return "rejected";
         }
--- a/packages/core/src/engineGroups/chooseFormations.ts
+++ b/packages/core/src/engineGroups/chooseFormations.ts
@@ -36,9 +36,7 @@
             chosen.push(next);
             pressures.add(next.offer);
             const taken = new Set(next.members.map(({ id }) => id));
-            domains.forEach((members, domain) =>
-                domains.set(domain, members.filter(({ id }) => !taken.has(id)))
-            );
+            domains.forEach((members, domain) => domains.set(domain, members.filter(({ id }) => !taken.has(id))));
             next = bestFormation(own, domains, pressures, limits);
         }
     }
--- a/packages/core/src/engineGroups/chooseTakeover.ts
+++ b/packages/core/src/engineGroups/chooseTakeover.ts
@@ -100,8 +100,6 @@
     const pressures = makePressures(view, offers);
     const need = pressures.of(offer);
     const givers = offers.filter(({ model }) => groups.some(group => group.model === model.model));
-    givers.forEach(giver =>
-        pressures.add(giver, -groups.filter(group => group.model === giver.model.model).length)
-    );
+    givers.forEach(giver => pressures.add(giver, -groups.filter(group => group.model === giver.model.model).length));
     return givers.every(giver => need > pressures.of(giver) * hysteresis);
 }
--- a/packages/core/src/engineGroups/index.ts
+++ b/packages/core/src/engineGroups/index.ts
@@ -1,7 +1,7 @@
 /** Engine groups on the users' platform: judging, forming, opening and giving them up. */
 export { chooseFormations, type Formation, type FormationLimits, makePressures } from "./chooseFormations";
-export { chooseTakeover, type Takeover } from "./chooseTakeover";
 export { chooseStaging, type Staging } from "./chooseStaging";
+export { chooseTakeover, type Takeover } from "./chooseTakeover";
 export {
     type AddressedEngineOrder,
     type FleetView,
--- a/packages/core/src/serving/attemptPlan.ts
+++ b/packages/core/src/serving/attemptPlan.ts
@@ -27,7 +27,12 @@
 /** Sends beyond those that may have run: each was turned away at once and cost the caller next to nothing. */
 const maxTurnedAway = 3;
 
-const hasRun: Readonly<Record<SendFailure, boolean>> = { unreached: false, rejected: false, failed: true, inDoubt: true };
+const hasRun: Readonly<Record<SendFailure, boolean>> = {
+    unreached: false,
+    rejected: false,
+    failed: true,
+    inDoubt: true,
+};
 
 export function afterSend({ mayHaveRun, turnedAway }: Sends, last: SendFailure): Sends {
     return hasRun[last]
--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -1,4 +1,16 @@
 /** Decisions about one request: its route, its upstream, its repeats; and the right to plan for all. */
+export {
+    afterSend,
+    endingOfSends,
+    isRepeat,
+    maySendAgain,
+    noSends,
+    type SendFailure,
+    type SendRules,
+    type Sends,
+} from "./attemptPlan";
+export { type EventOrder, type EventVerdict, makeEventOrder } from "./eventOrder";
+export { type EventSplitter, makeEventSplitter, type RawEvent } from "./eventSplitter";
 export * from "./placing";
 export {
     type LeaseOptions,
@@ -14,15 +26,3 @@
 export { makeRepeatBudget, type RepeatBounds, type RepeatBudget } from "./repeatBudget";
 export { chooseService, makeRouteTable, type RouteTable } from "./routeTable";
 export { type LoadReport, makeUpstreamLoad, type UpstreamLoad } from "./upstreamLoad";
-export {
-    afterSend,
-    endingOfSends,
-    isRepeat,
-    maySendAgain,
-    noSends,
-    type SendFailure,
-    type SendRules,
-    type Sends,
-} from "./attemptPlan";
-export { type EventOrder, type EventVerdict, makeEventOrder } from "./eventOrder";
-export { type EventSplitter, makeEventSplitter, type RawEvent } from "./eventSplitter";
--- a/packages/entry/src/config/readConfig.ts
+++ b/packages/entry/src/config/readConfig.ts
@@ -1,7 +1,7 @@
 /** Reads the configuration from the platform's table. */
 import { foldRows, type Snapshot } from "@rattanquay/core";
-import { type Table } from "@rattanquay/table";
 import { HeadRow, SubjectRow } from "@rattanquay/schema";
+import { type Table } from "@rattanquay/table";
 import { configPartition, headKey } from "../rowKeys";
 
 const emptyHead: HeadRow = { revision: 0, highestTicket: 0, evictedThrough: 0 };
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,6 +1,6 @@
 /** Wires the tasks of an entry instance together, and ends them in order. */
-import { makeDynamoTable, makeInstanceSource } from "@rattanquay/table";
 import { type Settings } from "@rattanquay/schema";
+import { makeDynamoTable, makeInstanceSource } from "@rattanquay/table";
 import { type Log, makeMetrics, makeTracing } from "@rattanquay/telemetry";
 import { sleep, type Timer } from "@rattanquay/timer";
 import makeXxhash from "xxhash-wasm";
--- a/packages/entry/src/fleet/fleetTask.ts
+++ b/packages/entry/src/fleet/fleetTask.ts
@@ -11,8 +11,8 @@
     makeEvidenceBook,
     type Snapshot,
 } from "@rattanquay/core";
-import { type Stored } from "@rattanquay/table";
 import { type EvidenceNews, GroupRow, type InstanceList, type PassedZone } from "@rattanquay/schema";
+import { type Stored } from "@rattanquay/table";
 import { type Feed, type Mailbox, makeSource, type Source, startTask } from "@rattanquay/task";
 import { type Surroundings } from "../surroundings";
 import { judgeZone, logChanges } from "./judgeZone";
--- a/packages/entry/src/fleet/zoneKnowledge.ts
+++ b/packages/entry/src/fleet/zoneKnowledge.ts
@@ -1,6 +1,6 @@
 import { type Evidence, type Finding, type Standing } from "@rattanquay/core";
-import { type Stored } from "@rattanquay/table";
 import { type EntryPlace, type GroupRow, type Instance } from "@rattanquay/schema";
+import { type Stored } from "@rattanquay/table";
 
 /** A zone as one process knows it at one instant. */
 export type ZoneKnowledge = {
--- a/packages/entry/src/operators/ticketStatus.ts
+++ b/packages/entry/src/operators/ticketStatus.ts
@@ -1,6 +1,6 @@
 /** Where an accepted ticket is in force. */
-import { type Table } from "@rattanquay/table";
 import { type Progress } from "@rattanquay/schema";
+import { type Table } from "@rattanquay/table";
 import { type Peers } from "../peers";
 import { readTicket } from "../tickets";
 
--- a/packages/entry/src/surroundings.ts
+++ b/packages/entry/src/surroundings.ts
@@ -1,6 +1,6 @@
 /** What every task of an entry instance is given. */
-import { type InstanceSource, type Table } from "@rattanquay/table";
 import { type Settings } from "@rattanquay/schema";
+import { type InstanceSource, type Table } from "@rattanquay/table";
 import { type Log, type Metrics, type Tracing } from "@rattanquay/telemetry";
 import { type Timer } from "@rattanquay/timer";
 
--- a/packages/entry/src/tickets/ground.ts
+++ b/packages/entry/src/tickets/ground.ts
@@ -1,6 +1,5 @@
 /** What must be read before a ticket can be judged, and the transaction that accepts it. */
 import { type Acceptance, type Ground, isSpentTombstone, slotOf, tombstoneCandidates } from "@rattanquay/core";
-import { type Table, type TableOutcome } from "@rattanquay/table";
 import {
     HeadRow,
     SlotRow,
@@ -12,6 +11,7 @@
     unchanged,
     type Write,
 } from "@rattanquay/schema";
+import { type Table, type TableOutcome } from "@rattanquay/table";
 import { headKey, slotKey, subjectKey, ticketKey } from "../rowKeys";
 
 /** The ticket that falls out of the ring of kept ones, with the tombstones that go with it. */
--- a/packages/entry/src/tickets/ticketStore.ts
+++ b/packages/entry/src/tickets/ticketStore.ts
@@ -1,7 +1,7 @@
 /** Accepting tickets in the platform's table: one transaction each, lost answers settled by reading back. */
 import { decideTicket } from "@rattanquay/core";
-import { type Table, type TableOutcome } from "@rattanquay/table";
 import { type Ticket, TicketRow, type Verdict } from "@rattanquay/schema";
+import { type Table, type TableOutcome } from "@rattanquay/table";
 import { randomUUID } from "node:crypto";
 import { ticketKey, ticketPartition } from "../rowKeys";
 import { digestOf } from "./digest";
--- a/packages/gateway/src/beliefs/tableWatch.ts
+++ b/packages/gateway/src/beliefs/tableWatch.ts
@@ -111,4 +111,3 @@
 function reasonOf(outcome: StoreOutcome<unknown>): string | undefined {
     return outcome.kind === "refused" || outcome.kind === "unanswered" ? outcome.reason : undefined;
 }
-
--- a/packages/gateway/src/control/prober.ts
+++ b/packages/gateway/src/control/prober.ts
@@ -5,9 +5,9 @@
  * instances are silent at once it is this process that is cut off, and nobody is judged.
  */
 import { type EngineReport, type UpstreamRecord } from "@rattanquay/schema";
-import { type EngineControl } from "../ports";
 import { type Log } from "@rattanquay/telemetry";
 import { type Timer } from "@rattanquay/timer";
+import { type EngineControl } from "../ports";
 
 export type Prober = {
     /** Asks all that are due; resolves when the answers are in. */
--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -93,7 +93,12 @@
 
 type Decided = { readonly route?: ServingRoute; readonly version: number | undefined };
 
-function record({ caller, request, arrivedAtMs }: Arrival, conclusion: Conclusion, reach: Reach, decided: Decided): void {
+function record(
+    { caller, request, arrivedAtMs }: Arrival,
+    conclusion: Conclusion,
+    reach: Reach,
+    decided: Decided,
+): void {
     const { log, metrics, timer } = reach.surroundings;
     const { ending, status } = conclusion;
     metrics.requests.inc({ kind: decided.route?.kind ?? "none", ending, status: String(status) });
--- a/packages/gateway/src/exchange/body.ts
+++ b/packages/gateway/src/exchange/body.ts
@@ -26,7 +26,10 @@
             }
             chunks.push(chunk);
         });
-        request.on("end", () => finish({ kind: "read", bytes: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks) }));
+        request.on(
+            "end",
+            () => finish({ kind: "read", bytes: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks) }),
+        );
         request.on("error", () => finish({ kind: "gone" }));
         request.on("close", () => finish({ kind: "gone" }));
     });
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -1,26 +1,35 @@
 /**
- * One request from its arrival to its end: admit, place, send, relay, and if need be again.
+ * One request from its arrival to its end: place, send, relay, and if need be again.
  *
  * It ends in exactly one way: answered whole; not run, which is true; or unknown. Whatever is still under way for it at its
  * end is given up, and so is everything when the caller leaves.
  */
-import { afterSend, endingOfSends, isRepeat, maySendAgain, noSends, type Sends } from "@rattanquay/core";
+import {
+    afterSend,
+    endingOfSends,
+    isRepeat,
+    maySendAgain,
+    noSends,
+    type SendFailure,
+    type Sends,
+} from "@rattanquay/core";
 import { type Ending } from "@rattanquay/schema";
 import { type Cancel } from "@rattanquay/timer";
-import { type Attempt, startAttempt } from "./attempt";
+import { type Attempt, type AttemptEvents, type AttemptOptions, startAttempt } from "./attempt";
 import { type Job } from "./job";
+import { isTooLate, priorityOf, retryAfterMs } from "./lateness";
 import { choosePlacement, type Placement } from "./placement";
 import { type Reach } from "./reach";
 import { type Refusal, refusals, refuse } from "./refusals";
-import { deliver, type KeptAnswer, relays, type SendResult } from "./relays";
-import { isStalled, type StallQuestion } from "./stalls";
+import { deliver, type KeptAnswer, type Relay, relays, type SendResult } from "./relays";
+import { isStalled } from "./stalls";
 
 /** How a request ended: for the log, the metrics and whoever counts. */
 export type Conclusion = {
     readonly ending: Ending | "callerGone";
     readonly code: string;
     readonly status: number;
-    /** Where it was sent, the last first to be blamed. */
+    /** Where it was sent, in order. */
     readonly upstreams?: readonly string[];
     /** From the arrival to the first byte of the answer, and what was predicted for the first send. */
     readonly firstByteMs?: number;
@@ -31,232 +40,250 @@
 const answerMarginMs = 25;
 /** A send with less time than this left would be no offer to its upstream. */
 const leastSendMs = 40;
+const msPerSecond = 1_000;
 
+/** Runs a request that has been admitted; `onEnd` is called once. */
 export function runExchange(job: Job, reach: Reach, onEnd: (conclusion: Conclusion) => void): void {
-    const { surroundings, budget, stalls } = reach;
-    const { timer, log, metrics, ports: { wire } } = surroundings;
-    const { response, request, route, caller } = job;
-    const { kind } = route;
-    const tried = new Set<string>();
-    let sends: Sends = noSends;
-    let kept: KeptAnswer | undefined;
-    let current: Attempt | undefined;
-    let unwatch: Cancel = () => undefined;
-    let ended = false;
+    new Exchange(job, reach, onEnd).start();
+}
+
+class Exchange {
+    private readonly tried = new Set<string>();
+    private readonly relay: Relay;
+    private sends: Sends = noSends;
+    /** An upstream's own failure, which the caller gets if nothing better comes. */
+    private kept: KeptAnswer | undefined;
+    private current: Attempt | undefined;
+    private unwatch: Cancel = () => undefined;
+    private cancelTimeout: Cancel = () => undefined;
+    private hasEnded = false;
+    private firstByteMs: number | undefined;
+    private predictedMs: number | undefined;
+
+    constructor(
+        private readonly job: Job,
+        private readonly reach: Reach,
+        private readonly onEnd: (conclusion: Conclusion) => void,
+    ) {
+        this.relay = relays[job.route.kind](job, reach, { onFirstByte: () => this.noteFirstByte() });
+    }
 
-    let firstByteMs: number | undefined;
-    let predictedMs: number | undefined;
+    start(): void {
+        const { timer } = this.reach.surroundings;
+        const { response } = this.job;
+        this.cancelTimeout = timer.after(Math.max(0, this.timeLeftMs()), () => this.runOutOfTime());
+        response.on("close", () => {
+            if (!response.writableFinished) {
+                this.conclude("callerGone", "callerGone", 0);
+            }
+        });
+        this.reach.budget.noteRequest(timer.nowMs());
+        this.sendNext();
+    }
+
+    private timeLeftMs(): number {
+        return this.job.endByMs - answerMarginMs - this.reach.surroundings.timer.nowMs();
+    }
 
-    const relay = relays[kind](job, reach, {
-        onFirstByte: () => {
-            firstByteMs = Math.round(timer.nowMs() - job.arrivedAtMs);
-            metrics.firstByte.observe({ kind }, firstByteMs / msPerSecond);
-        },
-    });
+    private noteFirstByte(): void {
+        const { timer, metrics } = this.reach.surroundings;
+        this.firstByteMs = Math.round(timer.nowMs() - this.job.arrivedAtMs);
+        metrics.firstByte.observe({ kind: this.job.route.kind }, this.firstByteMs / msPerSecond);
+    }
 
-    const conclude = (conclusion: Pick<Conclusion, "ending" | "code" | "status">): void => {
-        if (ended) {
+    private conclude(ending: Conclusion["ending"], code: string, status: number): void {
+        if (this.hasEnded) {
             return;
         }
-        ended = true;
-        cancelTimeout();
-        unwatch();
-        const open = current;
-        current = undefined;
-        open?.abort("the request has ended");
-        onEnd({ ...conclusion, upstreams: [...tried], firstByteMs, predictedMs });
-    };
-    const refuseWith = (refusal: Refusal, retryAfterMs: number): void => {
-        if (ended) {
+        this.hasEnded = true;
+        this.cancelTimeout();
+        this.unwatch();
+        this.current?.abort("the request has ended");
+        this.current = undefined;
+        const { tried, firstByteMs, predictedMs } = this;
+        this.onEnd({ ending, code, status, upstreams: [...tried], firstByteMs, predictedMs });
+    }
+
+    private refuseWith(refusal: Refusal): void {
+        if (this.hasEnded) {
             return;
         }
-        refuse(response, request, refusal, wire, retryAfterMs);
+        const { job, reach } = this;
+        refuse(job.response, job.request, refusal, reach.surroundings.ports.wire, retryAfterMs(job, reach));
         const { status, ending } = refusals[refusal];
-        conclude({ ending, code: refusal, status });
-    };
+        this.conclude(ending, refusal, status);
+    }
+
     /** Ends without a good answer: by an upstream's own failure if there is one, else by what is known of the sends. */
-    const giveUp = (unsent: Refusal): void => {
-        if (kept !== undefined && !response.headersSent) {
+    private giveUp(unsent: Refusal): void {
+        const { kept, job, sends } = this;
+        if (kept !== undefined && !job.response.headersSent) {
             deliver(job, kept);
-            conclude({ ending: "answered", code: "upstreamFailed", status: kept.status });
+            this.conclude("answered", "upstreamFailed", kept.status);
             return;
         }
         const refusedAs = sends.last === undefined ? unsent : "notRun";
-        refuseWith(endingOfSends(sends) === "unknown" ? "unknownOutcome" : refusedAs, retryAfterMs(job, reach));
-    };
-    const timeLeftMs = (): number => job.endByMs - answerMarginMs - timer.nowMs();
+        this.refuseWith(endingOfSends(sends) === "unknown" ? "unknownOutcome" : refusedAs);
+    }
 
-    const settle = (result: SendResult, placement: Placement): void => {
-        metrics.attempts.inc({ kind, result: result.kind === "short" ? result.failure : result.kind });
-        if (result.kind === "answered") {
-            conclude({ ending: "answered", code: "ok", status: result.status });
-            return;
-        }
-        const failure = result.kind === "failed" ? "failed" : result.failure;
-        const { record } = placement.upstream;
-        log.info("sendFell", {
-            requestId: caller.requestId,
-            upstream: record.id,
-            failure,
-            reason: result.kind === "failed" ? `status ${result.answer.status}` : result.reason,
-            lastEventId: relay.lastEventId(),
-            predictedMs: Math.round(placement.predictedMs),
-        });
-        if (result.kind === "failed") {
-            kept = result.answer;
-        }
-        sends = afterSend(sends, failure);
-        const mayGoOn = maySendAgain(sends, { isRepeatable: job.isRepeatable, maxAttempts: route.maxAttempts });
-        if (!mayGoOn || timeLeftMs() < leastSendMs) {
-            giveUp("notRun");
+    private runOutOfTime(): void {
+        if (this.kept !== undefined && !this.job.response.headersSent) {
+            this.giveUp("outOfTime");
             return;
         }
-        if (isRepeat(sends) && !budget.spend(timer.nowMs(), reach.instances())) {
-            log.info("repeatRefused", { requestId: caller.requestId, spent: budget.spent(timer.nowMs()) });
-            giveUp("notRun");
-            return;
-        }
-        sendNext();
-    };
+        const isNotRun = this.current === undefined && endingOfSends(this.sends) === "notRun";
+        this.refuseWith(isNotRun ? "notRun" : "outOfTime");
+    }
 
-    const sendNext = (): void => {
-        const placement = choosePlacement(job, tried, reach);
+    private sendNext(): void {
+        const { job, reach, sends, relay } = this;
+        const placement = choosePlacement(job, this.tried, reach);
         if (placement === undefined) {
-            giveUp("noUpstream");
+            this.giveUp("noUpstream");
             return;
         }
-        if (isTooLate(job, placement, sends, relay.lastEventId())) {
-            giveUp("overloaded");
+        const hasBegun = sends.mayHaveRun > 0 || relay.lastEventId() !== undefined;
+        if (!hasBegun && isTooLate(job, placement)) {
+            this.giveUp("overloaded");
             return;
         }
-        predictedMs ??= Math.round(placement.predictedMs);
-        tried.add(placement.upstream.record.id);
-        send(placement);
-    };
+        this.predictedMs ??= Math.round(placement.predictedMs);
+        this.tried.add(placement.upstream.record.id);
+        try {
+            this.send(placement);
+        }
+        catch {
+            // Node declines targets that it could not write as they came.
+            this.refuseWith("unreadablePath");
+        }
+    }
 
-    const send = (placement: Placement): void => {
+    private send(placement: Placement): void {
+        const { job, reach, relay } = this;
+        const { timer } = reach.surroundings;
         const reading = relay.begin();
         const { upstream } = placement;
-        let isOver = false;
         let hasHead = false;
         let lastBytesAtMs = timer.nowMs();
-        const headers = wire.upstreamHeaders(request, {
-            upstreamId: upstream.record.id,
-            workspace: job.workspace,
-            deadlineMs: Math.max(1, Math.floor(job.endByMs - timer.nowMs())),
-            priority: priorityOf(job, placement),
-            lastEventId: relay.lastEventId(),
-            bodyBytes: request.headers["content-length"] === undefined && job.body.length === 0
-                ? undefined
-                : job.body.length,
-        });
         const stop = (reason: string | undefined): void => {
-            if (reason !== undefined && !isOver) {
+            if (reason !== undefined) {
                 attempt.abort(reason);
             }
         };
-        const options = {
-            upstream,
-            method: request.method ?? "GET",
-            target: request.url ?? "/",
-            headers,
-            body: job.body,
-            requestId: caller.requestId,
-            wire,
-            timer,
-        };
-        const attempt = startAttempt(options, {
+        const events: AttemptEvents = {
             onHead: (head, answer) => {
                 hasHead = true;
                 stop(reading.onHead(head, answer));
             },
             onBytes: bytes => {
                 lastBytesAtMs = timer.nowMs();
-                if (!ended) {
+                if (!this.hasEnded) {
                     stop(reading.onBytes(bytes));
                 }
             },
             onEnd: end => {
-                isOver = true;
-                unwatch();
-                if (!ended) {
-                    current = undefined;
-                    settle(reading.onEnd(end), placement);
+                this.unwatch();
+                if (!this.hasEnded) {
+                    this.current = undefined;
+                    this.settle(reading.onEnd(end), placement);
                 }
             },
-        });
-        if (isOver) {
-            return;
-        }
-        current = attempt;
-        const question = (nowMs: number): StallQuestion => ({
-            nowMs,
-            job,
-            placement,
-            sentAtMs: attempt.startedAtMs,
-            lastBytesAtMs,
-            hasHead,
-            upstreamProgressAtMs: upstream.load.progressAtMs(),
-            hasOthers: () => choosePlacement(job, tried, reach) !== undefined,
-            mayRepeat: maySendAgain(afterSend(sends, "inDoubt"), {
-                isRepeatable: job.isRepeatable,
-                maxAttempts: route.maxAttempts,
-            }),
-        });
-        unwatch = stalls.add(nowMs => isStalled(question(nowMs)), () => {
+        };
+        const attempt = startAttempt(this.optionsFor(placement), events);
+        this.current = attempt;
+        const isOver = (nowMs: number): boolean =>
+            isStalled({
+                nowMs,
+                job,
+                placement,
+                sentAtMs: attempt.startedAtMs,
+                lastBytesAtMs,
+                hasHead,
+                upstreamProgressAtMs: upstream.load.progressAtMs(),
+                hasOthers: () => choosePlacement(job, this.tried, reach) !== undefined,
+                mayRepeat: this.mayGoOnAfter("inDoubt"),
+            });
+        this.unwatch = reach.stalls.add(isOver, () => {
             upstream.load.noteStall(timer.nowMs());
             attempt.abort("nothing came from the upstream");
         });
-    };
+    }
+
+    private optionsFor(placement: Placement): AttemptOptions {
+        const { job, reach, relay } = this;
+        const { request, body, caller, workspace, endByMs } = job;
+        const { timer, ports: { wire } } = reach.surroundings;
+        const hasBody = request.headers["content-length"] !== undefined || body.length > 0;
+        return {
+            upstream: placement.upstream,
+            method: request.method ?? "GET",
+            target: request.url ?? "/",
+            headers: wire.upstreamHeaders(request, {
+                upstreamId: placement.upstream.record.id,
+                workspace,
+                deadlineMs: Math.max(1, Math.floor(endByMs - timer.nowMs())),
+                priority: priorityOf(job, placement),
+                lastEventId: relay.lastEventId(),
+                bodyBytes: hasBody ? body.length : undefined,
+            }),
+            body,
+            requestId: caller.requestId,
+            wire,
+            timer,
+        };
+    }
+
+    private mayGoOnAfter(failure: SendFailure): boolean {
+        const { isRepeatable, route: { maxAttempts } } = this.job;
+        return maySendAgain(afterSend(this.sends, failure), { isRepeatable, maxAttempts });
+    }
 
-    const cancelTimeout = timer.after(Math.max(0, timeLeftMs()), () => {
-        if (kept !== undefined && !response.headersSent) {
-            giveUp("outOfTime");
+    private settle(result: SendResult, placement: Placement): void {
+        const { metrics } = this.reach.surroundings;
+        const { kind } = this.job.route;
+        metrics.attempts.inc({ kind, result: result.kind === "short" ? result.failure : result.kind });
+        if (result.kind === "answered") {
+            this.conclude("answered", "ok", result.status);
             return;
         }
-        refuseWith(current === undefined && endingOfSends(sends) === "notRun" ? "notRun" : "outOfTime", 0);
-    });
-    response.on("close", () => {
-        if (!response.writableFinished) {
-            conclude({ ending: "callerGone", code: "callerGone", status: 0 });
+        const failure = result.kind === "failed" ? "failed" : result.failure;
+        this.kept = result.kind === "failed" ? result.answer : this.kept;
+        this.logFall(result, failure, placement);
+        const mayGoOn = this.mayGoOnAfter(failure) && this.timeLeftMs() >= leastSendMs;
+        this.sends = afterSend(this.sends, failure);
+        if (mayGoOn && this.mayRepeatNow()) {
+            this.sendNext();
+            return;
         }
-    });
-    budget.noteRequest(timer.nowMs());
-    sendNext();
-}
-
-/**
- * Whether a request is better refused than sent: it could not be on time, and would keep others from being so.
- *
- * Answers the load in which a model's groups have more to do than they can for seconds: if all are taken, all are late. A
- * request that has run already, or of which events went out, is always carried on.
- */
-function isTooLate({ service, route }: Job, { predictedMs }: Placement, sends: Sends, lastId: number | undefined): boolean {
-    return service.engine !== undefined && sends.mayHaveRun === 0 && lastId === undefined
-        && predictedMs > route.objectiveMs * lateFactor;
-}
-
-/** A prediction may be this much over the objective, for it is rough. */
-const lateFactor = 2;
-
-/** Requests that can still be on time go before those that cannot. */
-function priorityOf({ service, route }: Job, { predictedMs }: Placement): number | undefined {
-    if (service.engine === undefined) {
-        return undefined;
+        this.giveUp("notRun");
     }
-    return predictedMs <= route.objectiveMs ? usualPriority : latePriority;
-}
 
-const usualPriority = 4;
-const latePriority = 7;
+    /** Whether the budget of repeats allows another send, if it is a repeat. */
+    private mayRepeatNow(): boolean {
+        const { reach, sends, job } = this;
+        const { timer, log } = reach.surroundings;
+        if (!isRepeat(sends) || reach.budget.spend(timer.nowMs(), reach.instances())) {
+            return true;
+        }
+        log.info("repeatRefused", { requestId: job.caller.requestId, spent: reach.budget.spent(timer.nowMs()) });
+        return false;
+    }
 
-/** When to come back: as late as callers heed, since groups take seconds to form, and not all at the same moment. */
-function retryAfterMs(job: Job, { surroundings }: Reach): number {
-    const leftMs = Math.max(0, job.endByMs - surroundings.timer.nowMs());
-    return leftMs * heededShare * (1 - retrySpread * surroundings.random());
+    private logFall(
+        result: Exclude<SendResult, { kind: "answered" }>,
+        failure: SendFailure,
+        placement: Placement,
+    ): void {
+        this.reach.surroundings.log.info("sendFell", {
+            requestId: this.job.caller.requestId,
+            upstream: placement.upstream.record.id,
+            failure,
+            reason: result.kind === "failed" ? `status ${result.answer.status}` : result.reason,
+            blames: result.kind === "short" ? result.blames : undefined,
+            lastEventId: this.relay.lastEventId(),
+            predictedMs: Math.round(placement.predictedMs),
+            load: Math.round(placement.upstream.load.estimate(this.reach.surroundings.timer.nowMs())),
+            candidates: placement.candidates,
+        });
+    }
 }
-
-/** Part of their time left for which callers will wait. */
-const heededShare = 0.32;
-const retrySpread = 0.4;
-const msPerSecond = 1_000;
--- a/packages/gateway/src/exchange/stalls.ts
+++ b/packages/gateway/src/exchange/stalls.ts
@@ -35,7 +35,9 @@
     return question.mayRepeat && isSilent(question) && question.hasOthers();
 }
 
-function isSilent({ nowMs, job, placement, sentAtMs, lastBytesAtMs, hasHead, upstreamProgressAtMs }: StallQuestion): boolean {
+function isSilent(
+    { nowMs, job, placement, sentAtMs, lastBytesAtMs, hasHead, upstreamProgressAtMs }: StallQuestion,
+): boolean {
     if (job.service.engine === undefined) {
         return nowMs - sentAtMs > job.route.objectiveMs * plainPatience;
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import { makeRepeatBudget } from "@rattanquay/core";
 import { type Log } from "@rattanquay/telemetry";
 import { sleep, type Timer } from "@rattanquay/timer";
+import { type IncomingMessage, type ServerResponse } from "node:http";
 import { startBeliefs } from "./beliefs";
 import { type Planning, startPlanning } from "./control";
 import { type CallerDoor, startCallerDoor, startMetricsDoor, startReadinessDoor } from "./door";
@@ -44,12 +45,11 @@
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
     const surroundings: Surroundings = options;
     const { settings, timer, log, metrics } = surroundings;
-    let planning: Planning | undefined;
+    const parts: { planning?: Planning; peers?: Peers } = {};
     let requests = 0;
     let leaving = false;
-    let peers: Peers | undefined;
-    const instances = (): number => Math.max(peers?.instances() ?? 0, assumedInstances);
-    const watched = startBeliefs(surroundings, () => planning?.isPlanner() === true);
+    const instances = (): number => Math.max(parts.peers?.instances() ?? 0, assumedInstances);
+    const watched = startBeliefs(surroundings, () => parts.planning?.isPlanner() === true);
     const { beliefs } = watched;
     const book = makeUpstreamBook(beliefs);
     const stalls = makeStallWatch(timer);
@@ -59,24 +59,25 @@
 
     const readiness = await startReadinessDoor(settings.listeners.readiness, isReady);
     const metricsDoor = await startMetricsDoor(settings.listeners.metrics, () => metrics.registry.metrics());
-    const door = await startCallerDoor((request, response) => {
+    const serve = (request: IncomingMessage, response: ServerResponse): Promise<void> => {
         requests++;
         return serveRequest(request, response, reach);
-    }, beliefs, surroundings);
-    const met = await startPeers(surroundings, watched, book);
-    peers = met;
-    planning = startPlanning({
+    };
+    const door = await startCallerDoor(serve, beliefs, surroundings);
+    const peers = await startPeers(surroundings, watched, book);
+    const planning = startPlanning({
         surroundings,
         beliefs,
         instances,
         ownTraffic: () => requests > 0,
-        passOrder: met.passOrder,
+        passOrder: peers.passOrder,
     });
+    Object.assign(parts, { planning, peers });
     log.info("started", { instance: settings.instance, availabilityZone: settings.availabilityZone });
 
     const kill = (): void => {
-        met.close();
-        planning?.close();
+        peers.close();
+        planning.close();
         door.close();
         readiness.close();
         metricsDoor.close();
@@ -88,7 +89,7 @@
         leaving = true;
         log.info("leaving", { inFlight: door.inFlight() });
         const deadlineMs = timer.nowMs() + settings.bounds.graceMs - graceMarginMs;
-        await Promise.all([planning?.release(), met.leave()]);
+        await Promise.all([planning.release(), peers.leave()]);
         const cut = await leave(door, timer, deadlineMs);
         kill();
         log.info("stopped", { cut });
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,5 +2,5 @@
 export { type Gateway, type GatewayOptions, startGateway } from "./gateway";
 export { type GatewayMetrics, makeGatewayMetrics } from "./metrics";
 export * from "./ports";
-export { ConnectionPool } from "./upstreams";
 export { GatewaySettings } from "./settings";
+export { ConnectionPool } from "./upstreams";
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -3,6 +3,7 @@
  * orders on for one that cannot reach an instance itself.
  */
 import { type OrderResult } from "@rattanquay/core";
+import { dial, startPeerListener } from "@rattanquay/peer";
 import {
     type EngineOrder,
     type GatewayAnswer,
@@ -10,7 +11,6 @@
     type GatewayInstance,
     type UpstreamRecord,
 } from "@rattanquay/schema";
-import { dial, startPeerListener } from "@rattanquay/peer";
 import { type Beliefs, type Watched } from "../beliefs";
 import { type Surroundings } from "../surroundings";
 import { type UpstreamBook } from "../upstreams";
@@ -50,10 +50,13 @@
     { beliefs, configuration, upstreams }: Watched,
     book: UpstreamBook,
 ): Promise<Peers> {
-    const { settings: { listeners, availabilityZone, instance }, timer, random, log, ports: { engines } } = surroundings;
+    const { settings: { listeners, availabilityZone, instance }, timer, random, log, ports: { engines } } =
+        surroundings;
     const directory = startDirectory(surroundings);
     const loads = makePeerLoads(book, timer.nowMs);
-    const handlers: { readonly [K in GatewayAsk["kind"]]: (ask: Extract<GatewayAsk, { kind: K }>) => Promise<GatewayAnswer> } = {
+    const handlers: {
+        readonly [K in GatewayAsk["kind"]]: (ask: Extract<GatewayAsk, { kind: K }>) => Promise<GatewayAnswer>;
+    } = {
         beliefs: async ask => answerBeliefs(ask, beliefs),
         passOrder: async ({ upstream, order }) => {
             const { result } = await engines.order(upstream, order, orderTimeoutMs);
@@ -166,8 +169,9 @@
 
 function draw<T>(items: readonly T[], count: number, random: () => number): readonly T[] {
     const left = [...items];
-    return Array.from({ length: Math.min(count, left.length) }, () =>
-        left.splice(Math.floor(random() * left.length), 1)[0]!
+    return Array.from(
+        { length: Math.min(count, left.length) },
+        () => left.splice(Math.floor(random() * left.length), 1)[0]!,
     );
 }
 
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -1,15 +1,15 @@
 /** What a gateway needs of the platform that it runs on. An adapter fills these in; nothing here names a wire. */
-import {
-    type EngineOrder,
-    type EngineReport,
-    type ServingConfig,
-    type UpstreamRecord,
-} from "@rattanquay/schema";
 import { type LoadReport, type OrderResult } from "@rattanquay/core";
+import { type EngineOrder, type EngineReport, type ServingConfig, type UpstreamRecord } from "@rattanquay/schema";
 import { type IncomingMessage } from "node:http";
 
 /** One row. `revision` is that of the transaction which wrote it last, from one counter for the whole store. */
-export type StoredRow = { readonly table: string; readonly key: string; readonly text: string; readonly revision: number };
+export type StoredRow = {
+    readonly table: string;
+    readonly key: string;
+    readonly text: string;
+    readonly revision: number;
+};
 
 /** A row that is gone, with the revision of the transaction that removed it. */
 export type RemovedRow = { readonly table: string; readonly key: string; readonly revision: number };
--- a/packages/lab/src/cluster/controlHistory.ts
+++ b/packages/lab/src/cluster/controlHistory.ts
@@ -1,6 +1,6 @@
 /** What an observer saw of a zone's control over time, and what must hold of all of it. */
-import { type Table } from "@rattanquay/table";
 import { GroupRow, InstanceRow, leaseKey, ServerInfo, type Stored, zonePartition } from "@rattanquay/schema";
+import { type Table } from "@rattanquay/table";
 import { sleep, systemTimer } from "@rattanquay/timer";
 import { operate } from "./clusterClient";
 import { type ProcessCluster } from "./processCluster";
--- a/packages/lab/src/fakes/__tests__/ticketFuzz.test.ts
+++ b/packages/lab/src/fakes/__tests__/ticketFuzz.test.ts
@@ -1,7 +1,6 @@
 /** Racing operators and readers against one table that loses answers, under every order of events that is drawn. */
 import { type Snapshot } from "@rattanquay/core";
 import { readHead, readSnapshot, submitTicket } from "@rattanquay/entry";
-import { type Stored, type Table, type TableOutcome } from "@rattanquay/table";
 import {
     configPartition,
     headKey,
@@ -12,6 +11,7 @@
     TicketRow,
     type Verdict,
 } from "@rattanquay/schema";
+import { type Stored, type Table, type TableOutcome } from "@rattanquay/table";
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
--- a/packages/lab/src/usersPlatform/storeStandIn.ts
+++ b/packages/lab/src/usersPlatform/storeStandIn.ts
@@ -22,27 +22,49 @@
 
 const checkEveryMs = 5;
 
-/** Starts the stand-in on a loopback port. */
-export async function startStoreStandIn(): Promise<StoreStandIn> {
+/** The rows with their revisions; removed ones stay as markers, so that their removal can be followed. */
+function makeRows() {
     const rows = new Map<string, Row>();
     let revision = 1;
     let oldest = 0;
+    const id = (table: string, key: string): string => `${table}\n${key}`;
+    return {
+        revision: () => revision,
+        oldest: () => oldest,
+        /** Begins a transaction. */
+        advance: () => {
+            revision++;
+        },
+        put: (table: string, key: string, value: string): void => {
+            rows.set(id(table, key), { table, part: "", key, value, schema_version: revision });
+        },
+        remove: (table: string, key: string): void => {
+            rows.set(id(table, key), { table, part: "", key, value: "", schema_version: revision, deleted: true });
+        },
+        live: (table: string): Row[] => [...rows.values()].filter(row => row.table === table && !row.deleted),
+        after: (table: string, from: number): Row[] =>
+            [...rows.values()].filter(row => row.table === table && row.schema_version > from),
+        revisionOf: (table: string, key: string): number => {
+            const row = rows.get(id(table, key));
+            return row === undefined || row.deleted ? 0 : row.schema_version;
+        },
+        forgetHistory: () => {
+            oldest = revision;
+            revision++;
+        },
+    };
+}
+
+/** Starts the stand-in on a loopback port. */
+export async function startStoreStandIn(): Promise<StoreStandIn> {
+    const table = makeRows();
     let mood: StoreMood = "serves";
     let calls = 0;
     const began = systemTimer.nowMs();
-    const id = (table: string, key: string): string => `${table}\n${key}`;
-    const stamp = () => ({ schema_version: revision, now_ms: Math.round(systemTimer.nowMs() - began) });
-    const put = (table: string, key: string, value: string): void => {
-        rows.set(id(table, key), { table, part: "", key, value, schema_version: revision });
-    };
-    const remove = (table: string, key: string): void => {
-        rows.set(id(table, key), { table, part: "", key, value: "", schema_version: revision, deleted: true });
-    };
-    const live = (table: string): Row[] => [...rows.values()].filter(row => row.table === table && !row.deleted);
-    const revisionOf = (table: string, key: string): number => {
-        const row = rows.get(id(table, key));
-        return row === undefined || row.deleted ? 0 : row.schema_version;
-    };
+    const stamp = () => ({
+        schema_version: table.revision(),
+        now_ms: Math.round(systemTimer.nowMs() - began),
+    });
     const answer = (response: ServerResponse, status: number, body: unknown): void => {
         response.writeHead(status, { "content-type": "application/json" });
         response.end(JSON.stringify(body));
@@ -51,13 +73,11 @@
         const after = Number(query.get("after"));
         const untilMs = systemTimer.nowMs() + Number(query.get("wait_ms"));
         const look = (): void => {
-            if (after < oldest) {
+            if (after < table.oldest()) {
                 answer(response, 410, stamp());
                 return;
             }
-            const changed = [...rows.values()].filter(row =>
-                row.table === query.get("table") && row.schema_version > after
-            );
+            const changed = table.after(query.get("table") ?? "", after);
             if (changed.length > 0 || systemTimer.nowMs() >= untilMs) {
                 answer(response, 200, { ...stamp(), rows: changed, has_more: false });
                 return;
@@ -76,13 +96,13 @@
             upserts: Row[];
             remove: Row[];
         };
-        if (body.expected_revision.some(row => revisionOf(row.table, row.key) !== row.schema_version)) {
+        if (body.expected_revision.some(row => table.revisionOf(row.table, row.key) !== row.schema_version)) {
             answer(response, 412, { ...stamp(), rows: [] });
             return;
         }
-        revision++;
-        body.upserts.forEach(row => put(row.table, row.key, row.value));
-        body.remove.forEach(row => remove(row.table, row.key));
+        table.advance();
+        body.upserts.forEach(row => table.put(row.table, row.key, row.value));
+        body.remove.forEach(row => table.remove(row.table, row.key));
         if (mood === "losesAnswers") {
             response.socket?.destroy();
             return;
@@ -91,7 +111,7 @@
     };
     const handlers: Readonly<Record<string, (r: IncomingMessage, s: ServerResponse, q: URLSearchParams) => void>> = {
         "/rattanquay/rows-get": (unused, response, query) =>
-            answer(response, 200, { ...stamp(), rows: live(query.get("table") ?? ""), has_more: false }),
+            answer(response, 200, { ...stamp(), rows: table.live(query.get("table") ?? ""), has_more: false }),
         "/rattanquay/rows-feed": (unused, response, query) => follow(query, response),
         "/rattanquay/rows-tx": (request, response) => void write(request, response),
     };
@@ -110,26 +130,23 @@
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     return {
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-        put: (table, key, value) => {
-            revision++;
-            put(table, key, Buffer.from(JSON.stringify(value)).toString("base64"));
+        put: (name, key, value) => {
+            table.advance();
+            table.put(name, key, Buffer.from(JSON.stringify(value)).toString("base64"));
         },
-        remove: (table, key) => {
-            revision++;
-            remove(table, key);
+        remove: (name, key) => {
+            table.advance();
+            table.remove(name, key);
         },
-        rows: table =>
-            live(table).map(({ key, value }) => ({
+        rows: name =>
+            table.live(name).map(({ key, value }) => ({
                 key,
                 value: JSON.parse(Buffer.from(value, "base64").toString()) as unknown,
             })),
         setMood: next => {
             mood = next;
         },
-        compact: () => {
-            oldest = revision;
-            revision++;
-        },
+        compact: table.forgetHistory,
         calls: () => calls,
         close: () => {
             server.close();
--- a/packages/lab/src/usersPlatform/upstreamStandIn.ts
+++ b/packages/lab/src/usersPlatform/upstreamStandIn.ts
@@ -60,7 +60,14 @@
         request.on("end", () => {
             const { method = "", url: target = "", headers } = request;
             const body = Buffer.concat(chunks).toString();
-            const arrival: Arrival = { method, target, headers, body, atMs: systemTimer.nowMs(), closedAtMs: undefined };
+            const arrival: Arrival = {
+                method,
+                target,
+                headers,
+                body,
+                atMs: systemTimer.nowMs(),
+                closedAtMs: undefined,
+            };
             arrivals.push(arrival);
             response.on("close", () => {
                 arrival.closedAtMs = response.writableFinished ? undefined : systemTimer.nowMs();
