Hold the lease as one incarnation, not as a name

Ruled out: a lapsed entry (the head was listed). Change: the holder's name carries a part drawn at each start. Test first: fence stayed 1, now 2.

--- a/packages/gateway/src/control/leaseKeeper.ts
+++ b/packages/gateway/src/control/leaseKeeper.ts
@@ -32,9 +32,11 @@
 
 export function makeLeaseKeeper(surroundings: Surroundings, instances: () => number): LeaseKeeper {
     const { ports: { store }, settings, timer, log, metrics, random } = surroundings;
+    // A process that starts anew under its name remembers nothing of its orders: it is another holder.
+    const holder = `${settings.instance}/${Math.floor(random() * Number.MAX_SAFE_INTEGER).toString(36)}`;
     let state: PlanningLeaseState = noLease;
     const options = (): LeaseOptions => ({
-        holder: settings.instance,
+        holder,
         termMs,
         readEveryMs: Math.max(termMs / 4, instances() / readsPerSecond * 1_000) * (0.5 + random()),
     });
