Share doubts between peers, connect or give up sooner, and document the users' platform

Change: peers of a zone tell each other whom they doubt; 200 ms for a connection; loads are told without an answer. Also: pages for operators, events, metrics, design and open questions; tests of decisions and decoding.

--- a/packages/cli/src/__tests__/reference.test.ts
+++ b/packages/cli/src/__tests__/reference.test.ts
@@ -1,4 +1,5 @@
 /** The reference pages and the program agree, both ways. */
+import { makeGatewayMetrics } from "@rattanquay/gateway";
 import { callerErrors, Settings, Ticket } from "@rattanquay/schema";
 import { makeMetrics } from "@rattanquay/telemetry";
 import { readdirSync, readFileSync } from "node:fs";
@@ -36,12 +37,15 @@
         .filter(path => path.endsWith(".ts") && !path.includes("__tests__"))
         .map(path => `${folder}/${path}`);
 
-const logEvents = (): readonly string[] =>
-    ["cli", "entry", "peer", "platform", "task"]
-        .flatMap(name => sourceFiles(`packages/${name}/src`))
+const logEventsIn = (folders: readonly string[]): readonly string[] =>
+    folders
+        .flatMap(sourceFiles)
         .flatMap(file => [...readFileSync(file, "utf8").matchAll(/\blog\.(?:error|warn|info|debug)\(\s*"(\w+)"/g)])
         .map(match => match[1]!);
 
+const ownFolders = ["cli", "entry", "peer", "table", "task"].map(name => `packages/${name}/src`);
+const gatewayFolders = ["packages/gateway/src", "platform/src"];
+
 const schema = z.toJSONSchema(Settings, { io: "input" }) as Shape;
 
 const cases = [
@@ -61,7 +65,18 @@
         program: () => keysOf(schema, ""),
         documented: () => named(page("settings"), /./),
     },
-    { name: "log-events", program: logEvents, documented: () => named(page("log-events"), /./) },
+    {
+        name: "gateway-metrics",
+        program: () => makeGatewayMetrics().registry.getMetricsAsArray().map(metric => metric.name),
+        documented: () => named(page("gateway-metrics"), /^rattanquay_/),
+    },
+    {
+        name: "gateway-log-events",
+        // The stream's own line about lines that were left out is written by the log itself.
+        program: () => [...logEventsIn(gatewayFolders), "logLinesDropped"],
+        documented: () => named(page("gateway-log-events"), /./),
+    },
+    { name: "log-events", program: () => logEventsIn(ownFolders), documented: () => named(page("log-events"), /./) },
     {
         name: "commands",
         program: () => commands.map(({ words }) => words),
--- /dev/null
+++ b/packages/core/src/serving/__tests__/planningLease.test.ts
@@ -0,0 +1,105 @@
+/** The lease on planning under pauses, lost answers and clocks that nobody compares: at most one holder at any time. */
+import { type PlanningLease } from "@rattanquay/schema";
+import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { mayPlan, nextPlanningStep, noLease, noteDoubt, noteReading, type PlanningLeaseState } from "../index";
+
+const termMs = 1_500;
+
+/** The store's row under conditional writes. */
+class Store {
+    row: PlanningLease | undefined;
+    revision = 0;
+    writtenAtMs = 0;
+    constructor(readonly nowMs: () => number) {}
+
+    write(row: PlanningLease, expected: number): boolean {
+        if (expected !== this.revision) {
+            return false;
+        }
+        this.row = row;
+        this.revision++;
+        return true;
+    }
+}
+
+/** One process with a clock of its own, which may stand still for a while. */
+class Candidate {
+    state: PlanningLeaseState = noLease;
+    pausedUntilMs = 0;
+    constructor(readonly name: string, readonly offsetMs: number, readonly store: Store) {}
+
+    now(): number {
+        return this.store.nowMs() + this.offsetMs;
+    }
+
+    step(fate: "answered" | "lost" | "refused"): void {
+        const options = { holder: this.name, termMs, readEveryMs: 400 };
+        const sentAtMs = this.now();
+        const step = nextPlanningStep(this.state, options, sentAtMs);
+        if (step.kind === "wait") {
+            return;
+        }
+        const isDone = fate !== "refused"
+            && (step.kind === "read" || this.store.write(step.row, step.expectedRevision));
+        if (fate !== "answered" || !isDone) {
+            this.state = noteDoubt(this.state, this.now(), 100);
+            return;
+        }
+        const { row, revision } = this.store;
+        this.state = noteReading(this.state, { row, revision, storeNowMs: this.store.nowMs(), sentAtMs }, options);
+    }
+}
+
+const plans = (candidate: Candidate): boolean => mayPlan(candidate.state, { termMs }, candidate.now());
+
+for (let seed = 1; seed <= 40; seed++) {
+    test(`at most one process plans at any time, seed ${seed}`, () => {
+        const generator = xoroshiro128plus(seed);
+        const draw = (below: number): number => unsafeUniformIntDistribution(0, below - 1, generator);
+        let nowMs = 1_000;
+        const store = new Store(() => nowMs);
+        const candidates = [0, 1, 2, 3].map(index => new Candidate(`p${index}`, draw(100_000), store));
+        let heldMs = 0;
+        for (let tick = 0; tick < 3_000; tick++) {
+            nowMs += 20;
+            for (const candidate of candidates) {
+                if (nowMs < candidate.pausedUntilMs) {
+                    continue;
+                }
+                if (draw(400) === 0) {
+                    candidate.pausedUntilMs = nowMs + draw(5_000);
+                }
+                candidate.step((["lost", "refused"] as const)[draw(12)] ?? "answered");
+            }
+            const holders = candidates.filter(plans);
+            assert.ok(holders.length <= 1, `${holders.map(({ name }) => name).join(" and ")} plan at ${nowMs} ms`);
+            heldMs += holders.length * 20;
+        }
+        assert.ok(heldMs > 0.6 * 60_000, `somebody planned for ${heldMs} of 60000 ms`);
+    });
+}
+
+test("the fence grows with each change of the holder and with nothing else", () => {
+    let nowMs = 0;
+    const store = new Store(() => nowMs);
+    const first = new Candidate("first", 0, store);
+    const second = new Candidate("second", 7, store);
+    const until = (done: () => boolean, stepping: readonly Candidate[]): void => {
+        for (let ticks = 0; !done() && ticks < 1_000; ticks++) {
+            nowMs += 20;
+            stepping.forEach(candidate => candidate.step("answered"));
+        }
+    };
+    until(() => plans(first), [first]);
+    assert.is(store.row?.fence, 1);
+    const renewedAt = nowMs;
+    until(() => nowMs - renewedAt > 10_000, [first, second]);
+    assert.is(store.row?.fence, 1);
+    until(() => plans(second), [second]);
+    assert.is(store.row?.fence, 2);
+    assert.not.ok(plans(first));
+});
+
+test.run();
--- /dev/null
+++ b/packages/core/src/serving/__tests__/serving.test.ts
@@ -0,0 +1,326 @@
+/** Decisions about one request, as tables of cases. */
+import { type EngineProfile, type ServingConfig, type ServingRoute } from "@rattanquay/schema";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+    afterSend,
+    chooseService,
+    endingOfSends,
+    isRepeat,
+    makeEventOrder,
+    makeEventSplitter,
+    makeRepeatBudget,
+    makeRouteTable,
+    makeUpstreamLoad,
+    maySendAgain,
+    noSends,
+    place,
+    type PlacingCandidate,
+    predictFirstEventMs,
+    type SendFailure,
+} from "../index";
+
+const route = (name: string, prefix: string, extra: Partial<ServingRoute> = {}): ServingRoute => ({
+    name,
+    hostname: "Calls.example",
+    prefix,
+    kind: "idempotent",
+    timeoutMs: 1_000,
+    objectiveMs: 200,
+    priority: 1,
+    targets: [{ service: "s", weight: 1 }],
+    maxAttempts: 2,
+    isPublic: false,
+    isResumable: false,
+    ...extra,
+});
+const config: ServingConfig = {
+    version: 1,
+    routes: [route("short", "/a/"), route("long", "/a/b/")],
+    services: [],
+    bounds: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    workspaces: [{ workspace: "alpha", keys: ["k1", "k2"] }],
+};
+
+const routeCases = [
+    { name: "the longest prefix wins", host: "calls.example", path: "/a/b/c", expected: "long" },
+    { name: "a prefix ends with a slash", host: "calls.example", path: "/a/bc", expected: "short" },
+    { name: "the query is no part of the path", host: "calls.example", path: "/a/?x=/a/b/", expected: "short" },
+    { name: "a port in the host", host: "calls.example:80", path: "/a/", expected: "short" },
+    { name: "another host", host: "other.example", path: "/a/", expected: undefined },
+    { name: "no host", host: undefined, path: "/a/", expected: undefined },
+];
+for (const { name, host, path, expected } of routeCases) {
+    test(`a route is found: ${name}`, () => {
+        assert.is(makeRouteTable(config).findRoute(host, path)?.name, expected);
+    });
+}
+
+test("every key names its workspace, and no other does", () => {
+    const table = makeRouteTable(config);
+    assert.equal(["k1", "k2", "k3", ""].map(key => table.workspaceOfKey(key)?.workspace), [
+        "alpha",
+        "alpha",
+        undefined,
+        undefined,
+    ]);
+});
+
+const splitCases = [
+    { random: 0, expected: "a" },
+    { random: 0.89, expected: "a" },
+    { random: 0.91, expected: "b" },
+    { random: 0.999, expected: "b" },
+];
+for (const { random, expected } of splitCases) {
+    test(`a split route chooses by weight at ${random}`, () => {
+        const targets = [{ service: "a", weight: 90 }, { service: "b", weight: 10 }];
+        assert.is(chooseService(route("r", "/", { targets }), random), expected);
+    });
+}
+
+type SendCase = {
+    readonly name: string;
+    readonly failures: readonly SendFailure[];
+    readonly isRepeatable: boolean;
+    readonly again: boolean;
+    readonly ending: string;
+    readonly repeat: boolean;
+};
+const sendCases: readonly SendCase[] = [
+    {
+        name: "nothing went out",
+        failures: ["unreached"],
+        isRepeatable: false,
+        again: true,
+        ending: "notRun",
+        repeat: false,
+    },
+    {
+        name: "it was declined",
+        failures: ["rejected"],
+        isRepeatable: false,
+        again: true,
+        ending: "notRun",
+        repeat: true,
+    },
+    {
+        name: "it may have run",
+        failures: ["inDoubt"],
+        isRepeatable: false,
+        again: false,
+        ending: "unknown",
+        repeat: true,
+    },
+    { name: "it failed", failures: ["failed"], isRepeatable: false, again: false, ending: "unknown", repeat: true },
+    {
+        name: "a repeatable one in doubt",
+        failures: ["inDoubt"],
+        isRepeatable: true,
+        again: true,
+        ending: "unknown",
+        repeat: true,
+    },
+    {
+        name: "two runs are the most",
+        failures: ["inDoubt", "failed"],
+        isRepeatable: true,
+        again: false,
+        ending: "unknown",
+        repeat: true,
+    },
+    {
+        name: "declined after a doubt",
+        failures: ["inDoubt", "rejected"],
+        isRepeatable: false,
+        again: false,
+        ending: "unknown",
+        repeat: true,
+    },
+    {
+        name: "declined by many",
+        failures: ["rejected", "rejected", "rejected", "rejected"],
+        isRepeatable: true,
+        again: false,
+        ending: "notRun",
+        repeat: true,
+    },
+];
+for (const { name, failures, isRepeatable, again, ending, repeat } of sendCases) {
+    test(`sends: ${name}`, () => {
+        const sends = failures.reduce(afterSend, noSends);
+        assert.is(maySendAgain(sends, { isRepeatable, maxAttempts: 2 }), again);
+        assert.is(endingOfSends(sends), ending);
+        assert.is(isRepeat(sends), repeat);
+    });
+}
+
+test("all instances together stay within the budget of repeats, though none hears another", () => {
+    const instances = 15;
+    const bounds = { ratio: 0.2, extra: 225, windowMs: 10_000 };
+    const budgets = Array.from({ length: instances }, () => makeRepeatBudget(bounds));
+    const granted: number[] = [];
+    let requests = 0;
+    for (let nowMs = 0; nowMs < 30_000; nowMs += 100) {
+        budgets.forEach(budget => {
+            requests++;
+            budget.noteRequest(nowMs);
+            for (let tries = 0; tries < 3; tries++) {
+                if (budget.spend(nowMs, instances)) {
+                    granted.push(nowMs);
+                }
+            }
+        });
+    }
+    const inWindow = (fromMs: number): number =>
+        granted.filter(atMs => atMs >= fromMs && atMs < fromMs + 10_000).length;
+    const worst = Math.max(...Array.from({ length: 200 }, (unused, index) => inWindow(index * 100)));
+    const requestsInWindow = requests / 3;
+    assert.ok(worst <= bounds.ratio * requestsInWindow + bounds.extra, `${worst} repeats in a window`);
+    assert.ok(worst > 0.6 * (bounds.ratio * requestsInWindow + bounds.extra), `${worst} repeats in a window`);
+});
+
+const orderCases = [
+    { name: "in order", after: undefined, ids: [1, 2, 3], verdicts: ["pass", "pass", "pass"], last: 3 },
+    { name: "behind the caller's last", after: 7, ids: [8, 9], verdicts: ["pass", "pass"], last: 9 },
+    { name: "twice", after: undefined, ids: [1, 1, 2], verdicts: ["pass", "drop", "pass"], last: 2 },
+    { name: "one is missing", after: undefined, ids: [1, 3], verdicts: ["pass", "gap"], last: 1 },
+    { name: "the first is missing", after: undefined, ids: [2], verdicts: ["gap"], last: undefined },
+    { name: "unnumbered", after: undefined, ids: [undefined, 1], verdicts: ["pass", "pass"], last: 1 },
+];
+for (const { name, after, ids, verdicts, last } of orderCases) {
+    test(`events: ${name}`, () => {
+        const order = makeEventOrder(after);
+        assert.equal(ids.map(order.judge), verdicts);
+        assert.is(order.lastId(), last);
+    });
+}
+
+const splitterCases = [
+    { name: "whole events", pieces: ["id: 1\ndata: a\n\nid: 2\ndata: b\n\n"], ids: [1, 2], rest: false },
+    { name: "events cut anywhere", pieces: ["id", ": 1\nda", "ta: a\n", "\nid: 2\n"], ids: [1], rest: true },
+    { name: "carriage returns", pieces: ["id: 1\r\ndata: a\r\n\r\n"], ids: [1], rest: false },
+    { name: "a line before the id", pieces: ["weight-versions: 2\nid: 5\ndata: a\n\n"], ids: [5], rest: false },
+    { name: "a comment", pieces: [": ping\n\n"], ids: [undefined], rest: false },
+];
+for (const { name, pieces, ids, rest } of splitterCases) {
+    test(`event splitter: ${name}`, () => {
+        const splitter = makeEventSplitter();
+        const events = pieces.flatMap(splitter.push);
+        assert.equal(events.map(({ id }) => id), ids);
+        assert.is(splitter.hasRest(), rest);
+        assert.is(events.map(({ bytes }) => bytes).join(""), rest ? "id: 1\ndata: a\n\n" : pieces.join(""));
+    });
+}
+
+const candidate = (id: string, load: number, extra: Partial<PlacingCandidate> = {}): PlacingCandidate => ({
+    id,
+    slots: 12,
+    load,
+    isLocal: true,
+    isStalled: false,
+    ...extra,
+});
+const placingCases = [
+    { name: "the least predicted time", candidates: [candidate("a", 9), candidate("b", 2)], expected: "b" },
+    {
+        name: "not one that stalls",
+        candidates: [candidate("a", 9), candidate("b", 0, { isStalled: true })],
+        expected: "a",
+    },
+    {
+        name: "one that stalls if there is no other",
+        candidates: [candidate("b", 0, { isStalled: true })],
+        expected: "b",
+    },
+    {
+        name: "the own zone at equal load",
+        candidates: [candidate("a", 3, { isLocal: false }), candidate("b", 3)],
+        expected: "b",
+    },
+    {
+        name: "another zone if the own is much busier",
+        candidates: [candidate("a", 1, { isLocal: false }), candidate("b", 9)],
+        expected: "a",
+    },
+    { name: "nothing of nothing", candidates: [], expected: undefined },
+];
+for (const { name, candidates, expected } of placingCases) {
+    test(`placing: ${name}`, () => {
+        const predict = ({ load }: PlacingCandidate): number => load * 10;
+        assert.is(place({ candidates, predict, random: () => 0 })?.id, expected);
+    });
+}
+
+const engine: EngineProfile = {
+    slots: 12,
+    memoryTokens: 1_000_000,
+    models: [{ model: "m", groupSize: 2, share: 1, pace: 1, loadMs: 12_000, warmupMs: 1_000 }],
+    stepMs: 7.8,
+    perRequestMs: 0.13,
+    perThousandContextMs: 0.01,
+    stepsPerPass: 5,
+    promptTokensPerMs: 45.9,
+    perMillionPairsMs: 0.43,
+    usualPromptTokens: 979,
+    usualAnswerTokens: 154,
+    reportLagMs: 200,
+    loadsPerSecond: 5,
+    loadsAtOnce: 7,
+    formationMs: 300,
+};
+
+test("the predicted time to the first event grows with load, and faster once all places are taken", () => {
+    const work = { promptTokens: 1_000, answerTokens: 150 };
+    const predicted = [0, 6, 11, 12, 24].map(load => predictFirstEventMs(engine, engine.models[0]!, load, work));
+    predicted.slice(1).forEach((ms, index) => assert.ok(ms > predicted[index]!, String(predicted)));
+    assert.ok(predicted[4]! - predicted[3]! > 10 * (predicted[2]! - predicted[1]!), String(predicted));
+});
+
+test("what others do at an upstream is believed for a while, and its silence too", () => {
+    const load = makeUpstreamLoad();
+    load.start();
+    load.noteReport({ running: 6, waiting: 2, slots: 12 }, 0);
+    assert.is(load.estimate(0), 8);
+    assert.ok(load.estimate(750) < 8 && load.estimate(750) > 1);
+    assert.is(load.estimate(5_000), 1);
+    load.notePeers(4, 5_000);
+    assert.is(load.estimate(5_100), 5);
+    load.noteStall(6_000);
+    assert.ok(load.isStalled(7_000));
+    load.noteProgress(7_100);
+    assert.not.ok(load.isStalled(7_200));
+});
+
+const doubtCases = [
+    { name: "a peer's doubt", act: () => undefined, stalled: true, own: false },
+    {
+        name: "a peer's doubt, and something came since",
+        act: (load: Load) => load.noteProgress(150),
+        stalled: false,
+        own: false,
+    },
+    { name: "an own doubt", act: (load: Load) => load.noteStall(150), stalled: true, own: true },
+    {
+        name: "an own doubt, and its group changed",
+        act: (load: Load) => {
+            load.noteStall(50);
+            load.forgetStall();
+        },
+        stalled: true,
+        own: false,
+    },
+];
+type Load = ReturnType<typeof makeUpstreamLoad>;
+for (const { name, act, stalled, own } of doubtCases) {
+    test(`doubts: ${name}`, () => {
+        const load = makeUpstreamLoad();
+        load.noteDoubt(100);
+        act(load);
+        assert.is(load.isStalled(200), stalled);
+        assert.is(load.isDoubted(200), own);
+        assert.is(load.isStalled(10_000), false);
+    });
+}
+
+test.run();
--- a/packages/core/src/serving/upstreamLoad.ts
+++ b/packages/core/src/serving/upstreamLoad.ts
@@ -17,17 +17,24 @@
     /** Nothing came though something was due, or it refused: others are asked first for a while. */
     readonly noteStall: (nowMs: number) => void;
     readonly forgetStall: () => void;
+    /** A peer doubts it. */
+    readonly noteDoubt: (nowMs: number) => void;
+    /** Whether this instance itself doubts it. */
+    readonly isDoubted: (nowMs: number) => boolean;
     /** When something came from it last. */
     readonly progressAtMs: () => number;
     readonly own: () => number;
     /** Requests at the upstream, own and others'. */
     readonly estimate: (nowMs: number) => number;
+    /** Whether this instance or a peer doubts it. */
     readonly isStalled: (nowMs: number) => boolean;
 };
 
 /** How long what an upstream said of others' requests is worth something: about as long as a request lasts. */
 const reportFadesMs = 1_500;
 const peersFadeMs = 1_000;
+/** What a peer doubts is left alone for as long as the peer goes on saying so. */
+const doubtForgottenMs = 700;
 /** A doubted upstream is tried again after this time, for it may have recovered with nobody asking it. */
 const stallForgottenMs = 4_000;
 
@@ -36,6 +43,7 @@
     let others = { count: 0, atMs: -Infinity };
     let peers = { count: 0, atMs: -Infinity };
     let stalledAtMs = -Infinity;
+    let doubtedAtMs = -Infinity;
     let progressAtMs = -Infinity;
     const faded = ({ count, atMs }: { count: number; atMs: number }, fadesMs: number, nowMs: number): number =>
         count * Math.max(0, 1 - (nowMs - atMs) / fadesMs);
@@ -55,6 +63,7 @@
         noteProgress: nowMs => {
             progressAtMs = nowMs;
             stalledAtMs = -Infinity;
+            doubtedAtMs = -Infinity;
         },
         noteStall: nowMs => {
             stalledAtMs = nowMs;
@@ -62,6 +71,10 @@
         forgetStall: () => {
             stalledAtMs = -Infinity;
         },
+        noteDoubt: nowMs => {
+            doubtedAtMs = nowMs;
+        },
+        isDoubted: nowMs => nowMs - stalledAtMs < stallForgottenMs,
         progressAtMs: () => progressAtMs,
         own: () => own,
         estimate: nowMs => {
@@ -69,6 +82,9 @@
             const said = nowMs - peers.atMs < peersFadeMs ? peers.count : 0;
             return own + Math.max(reported, said);
         },
-        isStalled: nowMs => nowMs - stalledAtMs < stallForgottenMs,
+        isStalled: nowMs =>
+            nowMs - stalledAtMs < stallForgottenMs
+            // What came here since speaks against a peer's doubt.
+            || (nowMs - doubtedAtMs < doubtForgottenMs && progressAtMs < doubtedAtMs),
     };
 }
--- a/packages/gateway/src/control/leaseKeeper.ts
+++ b/packages/gateway/src/control/leaseKeeper.ts
@@ -45,11 +45,15 @@
     const set = (next: PlanningLeaseState): void => {
         const before = state.held;
         state = next;
-        if (before?.fence !== next.held?.fence) {
-            const gained = next.held !== undefined;
-            log.info(gained ? "leaseTaken" : "leaseLost", { fence: next.held?.fence ?? before?.fence });
-            metrics.leaseHeld.set(gained ? 1 : 0);
+        if (before?.fence === next.held?.fence) {
+            return;
+        }
+        metrics.leaseHeld.set(next.held === undefined ? 0 : 1);
+        if (next.held === undefined) {
+            log.info("leaseLost", { fence: before?.fence });
+            return;
         }
+        log.info("leaseTaken", { fence: next.held.fence, holder });
     };
     const read = async (): Promise<void> => {
         const outcome = await store.read(leaseTable);
--- a/packages/gateway/src/control/planningTask.ts
+++ b/packages/gateway/src/control/planningTask.ts
@@ -34,6 +34,8 @@
 type Message = { readonly kind: "tick" } | { readonly kind: "release"; readonly done: () => void };
 
 const tickEveryMs = 60;
+/** Without the lease only so many ticks are used. */
+const ticksWithoutLease = 4;
 const orderTimeoutMs = 500;
 /** Groups formed, and given up, in one transaction, which holds 100 entries. */
 const maxRows = 45;
@@ -103,7 +105,13 @@
             },
         },
     });
-    const cancel = timer.every(tickEveryMs, () => mailbox.sendIfIdle({ kind: "tick" }));
+    let ticks = 0;
+    const cancel = timer.every(tickEveryMs, () => {
+        ticks++;
+        if (lease.mayPlan() || ticks % ticksWithoutLease === 0) {
+            mailbox.sendIfIdle({ kind: "tick" });
+        }
+    });
     return {
         isPlanner: lease.mayPlan,
         release: () => {
--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -41,7 +41,7 @@
 };
 
 /** Many times the way to the farthest upstream; a lost opening packet is only sent again after a second. */
-const connectTimeoutMs = 400;
+const connectTimeoutMs = 200;
 
 export function startAttempt(options: AttemptOptions, events: AttemptEvents): Attempt {
     const { upstream, timer } = options;
--- a/packages/gateway/src/exchange/stallWatch.ts
+++ b/packages/gateway/src/exchange/stallWatch.ts
@@ -7,7 +7,7 @@
     readonly stop: () => void;
 };
 
-const checkEveryMs = 40;
+const checkEveryMs = 75;
 
 export function makeStallWatch(timer: Timer): StallWatch {
     const watched = new Set<{ readonly isOver: (nowMs: number) => boolean; readonly act: () => void }>();
--- a/packages/gateway/src/peers/frameLink.ts
+++ b/packages/gateway/src/peers/frameLink.ts
@@ -1,6 +1,6 @@
 /** One connection between two gateway processes: CBOR frames that ask and answer. */
 import { Deframer, frameOf } from "@rattanquay/peer";
-import { type GatewayAnswer, type GatewayAsk, GatewayFrame } from "@rattanquay/schema";
+import { type GatewayAnswer, type GatewayAsk, GatewayFrame, type GatewayLoads } from "@rattanquay/schema";
 import { type Timer } from "@rattanquay/timer";
 import { decode, encode } from "cbor-x";
 import { type Socket } from "node:net";
@@ -8,17 +8,22 @@
 export type FrameLink = {
     /** Undefined when no answer came in time. */
     readonly ask: (ask: GatewayAsk, timeoutMs: number) => Promise<GatewayAnswer | undefined>;
+    readonly tell: (loads: GatewayLoads) => void;
     readonly isOpen: () => boolean;
     readonly close: () => void;
 };
 
-export type AskHandler = (ask: GatewayAsk) => Promise<GatewayAnswer>;
+/** What is done with what the other side sends. */
+export type Listener = {
+    readonly answer: (ask: GatewayAsk) => Promise<GatewayAnswer>;
+    readonly take: (loads: GatewayLoads) => void;
+};
 
 const maxFrameBytes = 8_388_608;
 /** A peer that reads more slowly than this is cut rather than held in memory. */
 const maxUnsentBytes = 4_194_304;
 
-export function makeFrameLink(socket: Socket, answer: AskHandler, timer: Timer): FrameLink {
+export function makeFrameLink(socket: Socket, listener: Listener, timer: Timer): FrameLink {
     const deframer = new Deframer(maxFrameBytes);
     const waiting = new Map<number, (answer: GatewayAnswer | undefined) => void>();
     let asked = 0;
@@ -32,11 +37,12 @@
     };
     const handlers = {
         ask: ({ number, ask }: Extract<GatewayFrame, { direction: "ask" }>): void => {
-            void answer(ask).then(given => open && send({ direction: "answer", number, answer: given }));
+            void listener.answer(ask).then(given => open && send({ direction: "answer", number, answer: given }));
         },
         answer: ({ number, answer: given }: Extract<GatewayFrame, { direction: "answer" }>): void => {
             waiting.get(number)?.(given);
         },
+        tell: ({ loads }: Extract<GatewayFrame, { direction: "tell" }>): void => listener.take(loads),
     };
     socket.setNoDelay(true);
     socket.on("data", (bytes: Buffer) => {
@@ -77,6 +83,7 @@
                 waiting.set(number, settle);
                 send({ direction: "ask", number, ask });
             }),
+        tell: loads => send({ direction: "tell", loads }),
         isOpen: () => open,
         close: () => socket.destroy(),
     };
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -9,13 +9,14 @@
     type GatewayAnswer,
     type GatewayAsk,
     type GatewayInstance,
+    type GatewayLoads,
     type UpstreamRecord,
 } from "@rattanquay/schema";
 import { type Beliefs, type Watched } from "../beliefs";
 import { type Surroundings } from "../surroundings";
 import { type UpstreamBook } from "../upstreams";
 import { type Directory, startDirectory } from "./directory";
-import { type AskHandler, type FrameLink, makeFrameLink } from "./frameLink";
+import { type FrameLink, type Listener, makeFrameLink } from "./frameLink";
 
 /** How an order fared that others passed on, and how many beside the instance, in its zone, got no answer either. */
 export type PassedOrder = { readonly result: OrderResult; readonly witnesses: number };
@@ -39,7 +40,7 @@
 const passersElsewhere = 2;
 /** While the store does not answer, a peer is asked this often. */
 const beliefsEveryMs = 400;
-const loadsEveryMs = 200;
+const loadsEveryMs = 300;
 /** Loads are told to so many peers at the usual pace, and to more of them more slowly. */
 const loadsPeersAtPace = 8;
 /** What a peer said of its loads is used for so long. */
@@ -63,16 +64,15 @@
             log.info("orderPassed", { upstream: upstream.id, order: order.kind, result });
             return { kind: "orderPassed", result };
         },
-        loads: async ask => {
-            loads.take(ask);
-            return { kind: "noted" };
-        },
     };
-    const answer: AskHandler = ask => (handlers[ask.kind] as (ask: GatewayAsk) => Promise<GatewayAnswer>)(ask);
-    const links = makeLinks(answer, surroundings);
+    const heard: Listener = {
+        answer: ask => (handlers[ask.kind] as (ask: GatewayAsk) => Promise<GatewayAnswer>)(ask),
+        take: loads.take,
+    };
+    const links = makeLinks(heard, surroundings);
     const listener = listeners.peers === undefined
         ? undefined
-        : await startPeerListener({ ...listeners.peers, onSocket: socket => makeFrameLink(socket, answer, timer) });
+        : await startPeerListener({ ...listeners.peers, onSocket: socket => makeFrameLink(socket, heard, timer) });
 
     const syncBeliefs = async (): Promise<void> => {
         const isAway = configuration.isAway() || upstreams.isAway();
@@ -100,8 +100,9 @@
         const rounds = Math.max(1, Math.ceil(near.length / loadsPeersAtPace));
         round++;
         const own = [...book.ownLoads()].map(([upstream, running]) => ({ upstream, running }));
+        const doubts = book.doubts(timer.nowMs());
         near.filter((unused, index) => index % rounds === round % rounds).forEach(({ address }) => {
-            void links.ask(address, { kind: "loads", instance, loads: own }, askTimeoutMs);
+            links.tell(address, { instance, loads: own, doubts: [...doubts] });
         });
         loads.apply();
     });
@@ -137,21 +138,25 @@
 
 type Links = {
     readonly ask: (address: string, ask: GatewayAsk, timeoutMs: number) => Promise<GatewayAnswer | undefined>;
+    readonly tell: (address: string, loads: GatewayLoads) => void;
     readonly stop: () => void;
 };
 
-/** One connection to each peer that is asked. */
-function makeLinks(answer: AskHandler, { timer }: Surroundings): Links {
+/** One connection to each peer that is asked or told something. */
+function makeLinks(heard: Listener, { timer }: Surroundings): Links {
     const links = new Map<string, FrameLink>();
+    const linkTo = (address: string): FrameLink => {
+        const known = links.get(address);
+        if (known?.isOpen()) {
+            return known;
+        }
+        const link = makeFrameLink(dial(address), heard, timer);
+        links.set(address, link);
+        return link;
+    };
     return {
-        ask: (address, ask, timeoutMs) => {
-            let link = links.get(address);
-            if (link === undefined || !link.isOpen()) {
-                link = makeFrameLink(dial(address), answer, timer);
-                links.set(address, link);
-            }
-            return link.ask(ask, timeoutMs);
-        },
+        ask: (address, ask, timeoutMs) => linkTo(address).ask(ask, timeoutMs),
+        tell: (address, loads) => linkTo(address).tell(loads),
         stop: () => links.forEach(link => link.close()),
     };
 }
@@ -202,12 +207,13 @@
 
 /** Adds up what the peers say of their requests at each upstream. */
 function makePeerLoads(book: UpstreamBook, nowMs: () => number) {
-    type Said = { readonly atMs: number; readonly loads: Extract<GatewayAsk, { kind: "loads" }>["loads"] };
+    type Said = { readonly atMs: number; readonly loads: GatewayLoads["loads"] };
     const said = new Map<string, Said>();
     let told = new Set<string>();
     return {
-        take: ({ instance, loads }: Extract<GatewayAsk, { kind: "loads" }>): void => {
+        take: ({ instance, loads, doubts }: GatewayLoads): void => {
             said.set(instance, { atMs: nowMs(), loads });
+            doubts.forEach(id => book.get(id)?.load.noteDoubt(nowMs()));
         },
         apply: (): void => {
             const sums = new Map<string, number>();
--- a/packages/gateway/src/upstreams/upstreamBook.ts
+++ b/packages/gateway/src/upstreams/upstreamBook.ts
@@ -18,6 +18,8 @@
     readonly heads: (service: string, model: string) => readonly KnownUpstream[];
     /** Own requests at each upstream that has some. */
     readonly ownLoads: () => ReadonlyMap<string, number>;
+    /** Upstreams that this process itself doubts. */
+    readonly doubts: (nowMs: number) => readonly string[];
     readonly stop: () => void;
 };
 
@@ -67,6 +69,8 @@
             ),
         ownLoads: () =>
             new Map([...entries].flatMap(([id, { load }]) => load.own() > 0 ? [[id, load.own()] as const] : [])),
+        doubts: nowMs =>
+            [...entries].flatMap(([id, { load, isListed }]) => isListed && load.isDoubted(nowMs) ? [id] : []),
         stop: () => entries.forEach(({ pool }) => pool.destroy()),
     };
 }
--- a/packages/schema/src/gatewayPeer.ts
+++ b/packages/schema/src/gatewayPeer.ts
@@ -10,15 +10,18 @@
     z.object({ kind: z.literal("beliefs"), configVersion: z.number(), asOf: z.number() }),
     /** Asks to pass an order on to an instance that the asker cannot reach. */
     z.object({ kind: z.literal("passOrder"), upstream: UpstreamRecord, order: EngineOrder }),
-    /** Tells how many requests the sender has at each upstream. */
-    z.object({
-        kind: z.literal("loads"),
-        instance: z.string(),
-        loads: z.array(z.object({ upstream: z.string(), running: z.number() })),
-    }),
 ]);
 export type GatewayAsk = z.infer<typeof GatewayAsk>;
 
+/** What is told without an answer: how many requests the sender has at each upstream, and which upstreams it doubts. */
+export const GatewayLoads = z.object({
+    instance: z.string(),
+    loads: z.array(z.object({ upstream: z.string(), running: z.number() })),
+    /** Upstreams that the sender itself found silent or declining a moment ago. */
+    doubts: z.array(z.string()),
+});
+export type GatewayLoads = z.infer<typeof GatewayLoads>;
+
 export const GatewayAnswer = z.discriminatedUnion("kind", [
     z.object({
         kind: z.literal("beliefs"),
@@ -30,14 +33,14 @@
         asOf: z.number(),
     }),
     z.object({ kind: z.literal("orderPassed"), result: z.enum(["accepted", "rejected", "unanswered"]) }),
-    z.object({ kind: z.literal("noted") }),
 ]);
 export type GatewayAnswer = z.infer<typeof GatewayAnswer>;
 
-/** An ask or answer with the number that joins them on one connection. */
+/** An ask or answer with the number that joins them on one connection, or what needs no answer. */
 export const GatewayFrame = z.discriminatedUnion("direction", [
     z.object({ direction: z.literal("ask"), number: z.number(), ask: GatewayAsk }),
     z.object({ direction: z.literal("answer"), number: z.number(), answer: GatewayAnswer }),
+    z.object({ direction: z.literal("tell"), loads: GatewayLoads }),
 ]);
 export type GatewayFrame = z.infer<typeof GatewayFrame>;
 
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,8 +1,8 @@
 /**
  * Runs each test file in a process of its own, a few at a time, and adds the results up.
  *
- * Tests of the lab start whole clusters of processes, so they run one after another: two at once would slow each other
- * down until evidence ages out, and the verdict would hang on the machine.
+ * Tests of the lab start whole clusters of processes, and those of the adapter a gateway with its stand-ins, so they run one
+ * after another: two at once would slow each other down until evidence ages out, and the verdict would hang on the machine.
  *
  * Tests named in KNOWN-RED.txt (`test: <file> :: <test name>`) may fail; they are printed and do not fail the run.
  * With file arguments only those files run. The last line is `N passed, N failed`.
@@ -20,7 +20,9 @@
     if (named.length > 0) {
         return named;
     }
-    const paths = readdirSync("packages", { recursive: true }).map(path => `packages/${path}`);
+    const paths = ["packages", "platform"].flatMap(folder =>
+        readdirSync(folder, { recursive: true }).map(path => `${folder}/${path}`)
+    );
     return paths.filter(path => /__tests__\/[^/]+\.test\.ts$/.test(path) && !path.includes("node_modules")).sort();
 };
 
@@ -67,7 +69,7 @@
 const files = listFiles();
 const red = knownRed();
 const results = [];
-const startsClusters = file => file.startsWith("packages/lab/");
+const startsClusters = file => file.startsWith("packages/lab/") || file.startsWith("platform/");
 const runAll = async queue => {
     for (let file = queue.shift(); file !== undefined; file = queue.shift()) {
         const result = judge(await runFile(file), red);
