--- a/packages/gateway/src/control/prober.ts
+++ b/packages/gateway/src/control/prober.ts
@@ -10,7 +10,7 @@
 import { type EngineControl } from "../ports";
 
 export type Prober = {
-    /** Asks all that are due; resolves when the answers are in. */
+    /** Asks the instances that are due, without waiting for their answers. */
     readonly probe: (records: readonly UpstreamRecord[]) => void;
     readonly unreachable: () => ReadonlySet<string>;
     readonly reportOf: (id: string) => EngineReport | undefined;
--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -23,7 +23,6 @@
 };
 
 export type Attempt = {
-    readonly upstream: KnownUpstream;
     readonly startedAtMs: number;
     /** Gives the send up; it then ends as `cut`, or as `unreached` if nothing went out. */
     readonly abort: (reason: string) => void;
@@ -45,7 +44,7 @@
 
 export function startAttempt(options: AttemptOptions, events: AttemptEvents): Attempt {
     const { upstream, timer } = options;
-    const { load, record } = upstream;
+    const { load } = upstream;
     let mayHaveLeft = false;
     let ended = false;
     let abortReason: string | undefined;
@@ -93,7 +92,7 @@
     });
     client.on("close", () => fail("closed without an answer"));
     client.end(options.body);
-    return { upstream: { ...upstream, record }, startedAtMs: timer.nowMs(), abort };
+    return { startedAtMs: timer.nowMs(), abort };
 }
 
 function open({ upstream, method, target, headers }: AttemptOptions): ClientRequest {
--- /dev/null
+++ b/packages/schema/src/hopHeaders.ts
@@ -0,0 +1,12 @@
+/** Headers that belong to one connection and are not passed on (RFC 9110, 7.6.1), in lower case. */
+export const hopHeaders: ReadonlySet<string> = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+]);
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./engine";
 export * from "./fleet";
 export * from "./gatewayPeer";
+export * from "./hopHeaders";
 export * from "./outcome";
 export * from "./peer";
 export * from "./rowKeys";
