--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,30 +1,16 @@
 /** Wires the parts of a gateway process together, and ends them in order. */
 import { makeRepeatBudget } from "@rattanquay/core";
-import { type Log } from "@rattanquay/telemetry";
 import { sleep, type Timer } from "@rattanquay/timer";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { startBeliefs } from "./beliefs";
 import { type Planning, startPlanning } from "./control";
 import { type CallerDoor, startCallerDoor, startMetricsDoor, startReadinessDoor } from "./door";
 import { makeStallWatch, type Reach, serveRequest } from "./exchange";
-import { type GatewayMetrics } from "./metrics";
 import { type Peers, startPeers } from "./peers";
-import { type Ports } from "./ports";
-import { type GatewaySettings } from "./settings";
 import { type Surroundings } from "./surroundings";
 import { makeUpstreamBook } from "./upstreams";
 
-export type GatewayOptions = {
-    readonly settings: GatewaySettings;
-    readonly ports: Ports;
-    readonly timer: Timer;
-    readonly log: Log;
-    readonly metrics: GatewayMetrics;
-    /** Numbers in [0, 1). */
-    readonly random: () => number;
-    /** Called when an invariant is broken; expected to end the process. */
-    readonly onBroken: (task: string, error: unknown) => void;
-};
+export type GatewayOptions = Surroundings;
 
 export type Gateway = {
     readonly isReady: () => boolean;
@@ -42,8 +28,7 @@
 /** The fewest entry instances that are assumed to share a budget. */
 const assumedInstances = 8;
 
-export async function startGateway(options: GatewayOptions): Promise<Gateway> {
-    const surroundings: Surroundings = options;
+export async function startGateway(surroundings: GatewayOptions): Promise<Gateway> {
     const { settings, timer, log, metrics } = surroundings;
     const parts: { planning?: Planning; peers?: Peers } = {};
     let requests = 0;
--- a/packages/gateway/src/surroundings.ts
+++ b/packages/gateway/src/surroundings.ts
@@ -13,5 +13,6 @@
     readonly metrics: GatewayMetrics;
     /** Numbers in [0, 1). */
     readonly random: () => number;
+    /** Called when an invariant is broken; expected to end the process. */
     readonly onBroken: (task: string, error: unknown) => void;
 };
