Pass cluster state on through two relays in each zone instead of reading the store from every process

Cause: every process followed the list of upstreams and the configuration by itself, so that calls to the store grew with processes times changes.

Change: the two processes of a zone with the most processor follow the store. The others subscribe to both of them, request what notices say they lack, and read the store themselves within 1.4 s when no relay confirms. Two relays, so that one that is frozen or cut off delays nobody. The directory is read a second time two seconds after the first read, so that all agree on the relays before traffic begins. A peer that asks for changes no longer misses removals that are delayed around an outage of the store: the revision up to which the list is complete advances only after them. Loads are tuples, encoded once a round, and all processes of a zone together send to another zone as often as one did before.

Weighed: pushes of whole changes (both relays would send the same data; a reader with a gap needs requests anyway), one relay a zone (a silent connection delays all of a zone by four seconds), gossip of revisions in the load messages (two rounds of 300 ms on top).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,4 +10,5 @@
 export * from "./outcomes";
 export * from "./routing";
 export * from "./serving";
+export * from "./stateSource";
 export * from "./tickets";
--- /dev/null
+++ b/packages/core/src/stateSource/index.ts
@@ -0,0 +1,2 @@
+/** From where an entry instance learns the cluster state. */
+export { makeStateSource, type RelayCandidate, type RelayNotice, type StateSource } from "./stateSource";
--- a/packages/gateway/src/clusterState/clusterState.ts
+++ b/packages/gateway/src/clusterState/clusterState.ts
@@ -27,6 +27,8 @@
     readonly hasCompleteList: () => boolean;
     /** The newest revision at which the list is known to be complete. */
     readonly asOf: () => number;
+    /** The revision of the newest change that was applied to the list. */
+    readonly newestChange: () => number;
     readonly applyConfiguration: (config: ServingConfig, origin: Origin) => void;
     readonly applyRecords: (records: readonly Revisioned<UpstreamRecord>[], origin: Origin) => void;
     readonly applyRemovals: (removed: readonly RemovedId[], origin: Origin) => void;
@@ -36,6 +38,8 @@
     readonly advanceAsOf: (revision: number) => void;
     /** Adds a listener, which is called with the ids that changed. */
     readonly onUpstreams: (listener: (ids: readonly string[]) => void) => void;
+    /** Adds a listener, which is called when another configuration has come into force. */
+    readonly onConfiguration: (listener: () => void) => void;
 };
 
 /** Maximum number of tombstones; the oldest are dropped. */
@@ -44,11 +48,13 @@
 export function makeClusterState(log: Log, metrics: GatewayMetrics): ClusterState {
     let table: RouteTable | undefined;
     let asOf = 0;
+    let newestChange = 0;
     let hasCompleteList = false;
     const records = new Map<string, Revisioned<UpstreamRecord>>();
     const tombstones = new Map<string, number>();
     let currentUpstreams: ReadonlyMap<string, UpstreamRecord> = new Map();
     const listeners = new Set<(ids: readonly string[]) => void>();
+    const configurationListeners = new Set<() => void>();
 
     const publish = (ids: readonly string[]): void => {
         if (ids.length === 0) {
@@ -64,6 +70,7 @@
             return false;
         }
         records.set(value.id, { value, revision });
+        newestChange = Math.max(newestChange, revision);
         tombstones.delete(value.id);
         return true;
     };
@@ -71,6 +78,7 @@
         const known = records.get(id);
         if (revision > (tombstones.get(id) ?? 0) && revision > (known?.revision ?? 0)) {
             tombstones.set(id, revision);
+            newestChange = Math.max(newestChange, revision);
             dropOldest(tombstones);
             return records.delete(id);
         }
@@ -94,6 +102,7 @@
         removals: () => [...tombstones].map(([id, revision]) => ({ id, revision })),
         hasCompleteList: () => hasCompleteList,
         asOf: () => asOf,
+        newestChange: () => newestChange,
         applyConfiguration: (config, origin) => {
             if (table !== undefined && config.version <= table.version) {
                 return;
@@ -101,6 +110,7 @@
             log.info("configurationInForce", { version: config.version, before: table?.version, origin });
             table = makeRouteTable(config);
             metrics.configVersion.set(config.version);
+            configurationListeners.forEach(listener => listener());
         },
         applyRecords: takeRecords,
         applyRemovals: takeRemovals,
@@ -120,6 +130,9 @@
         onUpstreams: listener => {
             listeners.add(listener);
         },
+        onConfiguration: listener => {
+            configurationListeners.add(listener);
+        },
     };
 }
 
--- a/packages/gateway/src/clusterState/tableWatch.ts
+++ b/packages/gateway/src/clusterState/tableWatch.ts
@@ -3,7 +3,7 @@
  * longer keeps the history that is needed.
  *
  * Each poll is bounded in time, because a connection can go silent without an error. A pause between two polls groups
- * consecutive changes into few calls.
+ * consecutive changes into few calls. A watch can be suspended while relays provide the same changes.
  */
 import { sleep } from "@rattanquay/timer";
 import { type GatewayContext } from "../gatewayContext";
@@ -17,8 +17,12 @@
 
 export type TableWatch = {
     readonly stop: () => void;
-    /** Whether the last call to the store failed. */
+    /** Suspends or resumes the watch. A call in progress at a suspension is completed. */
+    readonly setActive: (isActive: boolean) => void;
+    /** Whether the last call to the store failed; false while the watch is suspended. */
     readonly isUnavailable: () => boolean;
+    /** Whether the watch is active and the store answered its last call. */
+    readonly isCurrent: () => boolean;
     /** When the store last became available again after an outage. */
     readonly returnedAtMs: () => number | undefined;
 };
@@ -32,6 +36,8 @@
     readonly reader: TableReader;
     /** Minimum interval between the starts of two polls. */
     readonly minPollMs: () => number;
+    /** The revision up to which the changes are known from elsewhere; 0 if unknown. */
+    readonly knownRevision: () => number;
 };
 
 export function watchTable(options: WatchOptions, context: GatewayContext): TableWatch {
@@ -42,11 +48,16 @@
     let unavailableSinceMs: number | undefined;
     let after: number | undefined;
     let failures = 0;
+    let active = true;
+    let resume = (): void => undefined;
+    /** Whether the store has answered since the watch was last resumed. */
+    let hasAnswered = false;
 
     const noteOutcome = (outcome: StoreOutcome<unknown>): void => {
         const nowMs = timer.nowMs();
         if (outcome.kind === "done" || outcome.kind === "historyLost") {
             failures = 0;
+            hasAnswered = true;
             if (unavailableSinceMs !== undefined) {
                 log.info("storeRegained", { table, awayMs: Math.round(nowMs - unavailableSinceMs) });
                 returnedAtMs = nowMs;
@@ -69,8 +80,8 @@
         }
     };
     const follow = async (from: number): Promise<void> => {
-        // During an outage, a long poll would delay the notice that the store is available again.
-        const waitMs = failures > 0 ? 0 : settings.bounds.contactMs;
+        // A long poll would delay the notice that the store is available, after an outage or a suspension.
+        const waitMs = hasAnswered && failures === 0 ? settings.bounds.contactMs : 0;
         const outcome = await ports.store.follow(table, from, waitMs);
         noteOutcome(outcome);
         if (outcome.kind === "done") {
@@ -90,8 +101,12 @@
     };
     const run = async (): Promise<void> => {
         while (running) {
+            if (!active) {
+                await new Promise<void>(resolve => resume = resolve);
+                continue;
+            }
             const beganAtMs = timer.nowMs();
-            await (after === undefined ? readAll() : follow(after));
+            await (after === undefined ? readAll() : follow(Math.max(after, options.knownRevision())));
             const pause = pauseMs(beganAtMs);
             if (pause > 0) {
                 await sleep(timer, pause);
@@ -102,8 +117,18 @@
     return {
         stop: () => {
             running = false;
+            resume();
+        },
+        setActive: next => {
+            if (next && !active) {
+                hasAnswered = false;
+                active = true;
+                resume();
+            }
+            active = next;
         },
-        isUnavailable: () => unavailableSinceMs !== undefined,
+        isUnavailable: () => active && unavailableSinceMs !== undefined,
+        isCurrent: () => active && hasAnswered && failures === 0,
         returnedAtMs: () => returnedAtMs,
     };
 }
--- a/packages/gateway/src/clusterState/watchClusterState.ts
+++ b/packages/gateway/src/clusterState/watchClusterState.ts
@@ -6,9 +6,11 @@
 import { type TableWatch, watchTable } from "./tableWatch";
 
 export type ClusterStateWatch = {
-    readonly beliefs: ClusterState;
+    readonly clusterState: ClusterState;
     readonly configuration: TableWatch;
     readonly upstreams: TableWatch;
+    /** Suspends or resumes both watches. */
+    readonly setActive: (isActive: boolean) => void;
     readonly stop: () => void;
 };
 
@@ -40,6 +42,7 @@
     const configuration = watchTable({
         table: configSource.table,
         minPollMs: () => 0,
+        knownRevision: () => 0,
         reader: { onSnapshot: applyConfigurations, onChanges: ({ rows }) => applyConfigurations(rows) },
     }, context);
 
@@ -63,6 +66,7 @@
     const upstreams = watchTable({
         table: upstreamSource.table,
         minPollMs: () => isPlanner() ? plannerPollMs : defaultPollMs,
+        knownRevision: clusterState.asOf,
         reader: {
             onSnapshot: (rows, asOf) => {
                 const records = decode(rows);
@@ -73,18 +77,23 @@
             },
             onChanges: ({ rows, removed }, asOf) => {
                 clusterState.applyRecords(decode(rows), "store");
-                clusterState.advanceAsOf(asOf);
                 const gone = [...removed, ...unreadable(rows)].map(({ key: id, revision }) => ({ id, revision }));
-                if (gone.length > 0) {
-                    afterOutage(() => clusterState.applyRemovals(gone, "store"));
-                }
+                // A peer that asks for the changes after a revision must not miss removals that are still delayed.
+                afterOutage(() => {
+                    clusterState.applyRemovals(gone, "store");
+                    clusterState.advanceAsOf(asOf);
+                });
             },
         },
     }, context);
     return {
-        beliefs: clusterState,
+        clusterState,
         configuration,
         upstreams,
+        setActive: isActive => {
+            configuration.setActive(isActive);
+            upstreams.setActive(isActive);
+        },
         stop: () => {
             configuration.stop();
             upstreams.stop();
--- a/packages/gateway/src/control/planningTask.ts
+++ b/packages/gateway/src/control/planningTask.ts
@@ -24,7 +24,7 @@
 
 export type PlanningOptions = {
     readonly context: GatewayContext;
-    readonly beliefs: ClusterState;
+    readonly clusterState: ClusterState;
     readonly instances: () => number;
     /** Whether this process has received any caller request. */
     readonly ownTraffic: () => boolean;
@@ -42,7 +42,7 @@
 const maxRows = 32;
 
 export function startPlanning(options: PlanningOptions): Planning {
-    const { context, beliefs: clusterState } = options;
+    const { context, clusterState } = options;
     const { timer, settings, onFatalError } = context;
     const lease = makeLeaseKeeper(context, options.instances);
     const planner = makeGroupPlanner(settings.bounds);
--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -28,7 +28,7 @@
     const { timer, ports } = dependencies.context;
     const caller = ports.requestCodec.readRequest(request);
     const arrival: Arrival = { request, response, caller, arrivedAtMs: timer.nowMs() };
-    const routes = dependencies.beliefs.routes();
+    const routes = dependencies.clusterState.routes();
     if (routes === undefined) {
         refuseArrival(arrival, "noConfiguration", dependencies, undefined);
         return;
--- a/packages/gateway/src/exchange/exchangeDependencies.ts
+++ b/packages/gateway/src/exchange/exchangeDependencies.ts
@@ -7,7 +7,7 @@
 
 export type ExchangeDependencies = {
     readonly context: GatewayContext;
-    readonly beliefs: ClusterState;
+    readonly clusterState: ClusterState;
     readonly registry: UpstreamRegistry;
     readonly budget: SharedRetryBudget;
     /** The known number of gateway instances that share the retry budget. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,14 +36,15 @@
     let requests = 0;
     let isDraining = false;
     const instances = (): number => Math.max(components.peers?.instances() ?? 0, minInstances);
-    const clusterStateWatch = watchClusterState(context, () => components.planning?.isPlanner() === true);
-    const { beliefs: clusterState } = clusterStateWatch;
+    const isPlanner = (): boolean => components.planning?.isPlanner() === true;
+    const clusterStateWatch = watchClusterState(context, isPlanner);
+    const { clusterState } = clusterStateWatch;
     const registry = makeUpstreamRegistry(clusterState);
     const stallWatch = makeStallWatch(timer);
     const budget = makeSharedRetryBudget(settings.bounds.repeats);
     const dependencies: ExchangeDependencies = {
         context,
-        beliefs: clusterState,
+        clusterState,
         registry,
         budget,
         instances,
@@ -59,10 +60,10 @@
         return serveRequest(request, response, dependencies);
     };
     const callerListener = await startCallerListener(serve, clusterState, context);
-    const peers = await startPeers(context, clusterStateWatch, registry);
+    const peers = await startPeers(context, clusterStateWatch, registry, isPlanner);
     const planning = startPlanning({
         context,
-        beliefs: clusterState,
+        clusterState,
         instances,
         ownTraffic: () => requests > 0,
         passOrder: peers.passOrder,
--- a/packages/gateway/src/peers/frameLink.ts
+++ b/packages/gateway/src/peers/frameLink.ts
@@ -1,6 +1,6 @@
 /** A connection between two gateway processes that carries requests, answers and load reports as CBOR frames. */
 import { encodeFrame, FrameDecoder } from "@rattanquay/peer";
-import { type GatewayAnswer, GatewayFrame, type GatewayLoads, type GatewayRequest } from "@rattanquay/schema";
+import { type GatewayAnswer, GatewayFrame, type GatewayMessage, type GatewayRequest } from "@rattanquay/schema";
 import { type Timer } from "@rattanquay/timer";
 import { decode, encode } from "cbor-x";
 import { type Socket } from "node:net";
@@ -8,15 +8,24 @@
 export type FrameLink = {
     /** Sends a request. Resolves to undefined if no answer arrives in time. */
     readonly ask: (ask: GatewayRequest, timeoutMs: number) => Promise<GatewayAnswer | undefined>;
-    readonly tell: (loads: GatewayLoads) => void;
+    /** Sends a message that is not answered, from `encodeMessage`; a message to many peers is encoded once. */
+    readonly tell: (message: EncodedMessage) => void;
     readonly isOpen: () => boolean;
     readonly close: () => void;
 };
 
+/** The complete frame of a message. */
+export type EncodedMessage = { readonly frame: Buffer };
+
+export function encodeMessage(message: GatewayMessage): EncodedMessage {
+    return { frame: encodeGatewayFrame({ direction: "tell", message }) };
+}
+
 /** Handles what the other side sends. */
 export type FrameHandlers = {
     readonly answer: (ask: GatewayRequest) => Promise<GatewayAnswer>;
-    readonly take: (loads: GatewayLoads) => void;
+    /** `link` can be used to send messages back. */
+    readonly receive: (message: GatewayMessage, link: FrameLink) => void;
 };
 
 const maxFrameBytes = 8_388_608;
@@ -28,13 +37,14 @@
     const pending = new Map<number, (answer: GatewayAnswer | undefined) => void>();
     let lastNumber = 0;
     let open = true;
-    const send = (frame: GatewayFrame): void => {
+    const write = (bytes: Buffer): void => {
         if (socket.writableLength > maxUnsentBytes) {
             socket.destroy();
             return;
         }
-        socket.write(encodeFrame(encode(frame)));
+        socket.write(bytes);
     };
+    const send = (frame: GatewayFrame): void => write(encodeGatewayFrame(frame));
     const handlers = {
         ask: ({ number, ask }: Extract<GatewayFrame, { direction: "ask" }>): void => {
             void frameHandlers.answer(ask).then(given => open && send({ direction: "answer", number, answer: given }));
@@ -42,7 +52,7 @@
         answer: ({ number, answer: given }: Extract<GatewayFrame, { direction: "answer" }>): void => {
             pending.get(number)?.(given);
         },
-        tell: ({ loads }: Extract<GatewayFrame, { direction: "tell" }>): void => frameHandlers.take(loads),
+        tell: ({ message }: Extract<GatewayFrame, { direction: "tell" }>): void => frameHandlers.receive(message, link),
     };
     socket.setNoDelay(true);
     socket.on("data", (bytes: Buffer) => {
@@ -66,7 +76,7 @@
         open = false;
         pending.forEach(settle => settle(undefined));
     });
-    return {
+    const link: FrameLink = {
         ask: (ask, timeoutMs) =>
             new Promise(resolve => {
                 const number = ++lastNumber;
@@ -83,10 +93,19 @@
                 pending.set(number, settle);
                 send({ direction: "ask", number, ask });
             }),
-        tell: loads => send({ direction: "tell", loads }),
+        tell: ({ frame }) => {
+            if (open) {
+                write(frame);
+            }
+        },
         isOpen: () => open,
         close: () => socket.destroy(),
     };
+    return link;
+}
+
+function encodeGatewayFrame(frame: GatewayFrame): Buffer {
+    return encodeFrame(encode(frame));
 }
 
 function read(payload: Buffer): GatewayFrame | undefined {
--- /dev/null
+++ b/packages/gateway/src/peers/gossipRounds.ts
@@ -0,0 +1,42 @@
+/**
+ * Sends load information to peers in rounds: to all of the own zone in turn, and now and then to one of another zone.
+ *
+ * Traffic between zones is expensive, so all processes of a zone together send about one message to each other zone in
+ * each round, whatever their number.
+ */
+import { type Cancel } from "@rattanquay/timer";
+import { type GatewayContext } from "../gatewayContext";
+import { type Links } from "./links";
+import { type LoadGossip } from "./loadGossip";
+import { type PeerDirectory } from "./peerDirectory";
+import { sample } from "./sample";
+
+const gossipEveryMs = 300;
+/** Peers of the same zone that get loads in each round; if there are more, each gets them less often. */
+const sameZonePeersPerRound = 8;
+/** Messages to each other zone in each round, from all processes of this zone together. */
+const messagesPerOtherZone = 1.5;
+
+export function startGossipRounds(
+    { settings: { availabilityZone }, timer, random }: GatewayContext,
+    gossip: LoadGossip,
+    directory: PeerDirectory,
+    links: Links,
+): Cancel {
+    let round = 0;
+    return timer.every(gossipEveryMs, () => {
+        const sameZonePeers = directory.peers().filter(peer => peer.availabilityZone === availabilityZone);
+        const otherZonePeers = directory.peers().filter(peer => peer.availabilityZone !== availabilityZone);
+        const rounds = Math.max(1, Math.ceil(sameZonePeers.length / sameZonePeersPerRound));
+        round++;
+        const receivers = sameZonePeers.filter((unused, index) => index % rounds === round % rounds);
+        if (receivers.length > 0) {
+            links.tell(receivers.map(({ address }) => address), gossip.forSameZone());
+        }
+        const otherZones = new Set(otherZonePeers.map(peer => peer.availabilityZone)).size;
+        if (random() * (sameZonePeers.length + 1) < messagesPerOtherZone * otherZones) {
+            links.tell(sample(otherZonePeers, 1, random).map(({ address }) => address), gossip.forOtherZone());
+        }
+        gossip.apply(rounds * gossipEveryMs);
+    });
+}
--- a/packages/gateway/src/peers/index.ts
+++ b/packages/gateway/src/peers/index.ts
@@ -1,2 +1,3 @@
 /** Communication with the other gateway processes. */
-export { type PassedOrder, type Peers, startPeers } from "./peers";
+export { type PassedOrder } from "./passOrder";
+export { type Peers, startPeers } from "./peers";
--- a/packages/gateway/src/peers/loadGossip.ts
+++ b/packages/gateway/src/peers/loadGossip.ts
@@ -40,18 +40,22 @@
     const sameZone = new Map<string, ReceivedLoads>();
     const otherZones = new Map<string, ReceivedLoads>();
     let reportedUpstreams = new Set<string>();
-    const own = (): Loads => [...registry.localLoads()].map(([upstream, running]) => ({ upstream, running }));
+    const own = (): Loads => [...registry.localLoads()];
     const zoneLoads = (): GatewayLoads["zoneLoads"] =>
         [...otherZones].flatMap(([zone, { atMs, loads }]) => {
             const ageMs = Math.round(nowMs() - atMs);
             return ageMs < zoneSumMaxAgeMs ? [{ availabilityZone: zone, ageMs, loads }] : [];
         });
     const commonFields = () => ({
+        kind: "loads" as const,
         instance,
         availabilityZone,
-        progress: [...registry.progress(nowMs(), progressMaxAgeMs)],
+        progress: registry.progress(nowMs(), progressMaxAgeMs).map(({ upstream, ageMs }): [string, number] => [
+            upstream,
+            ageMs,
+        ]),
     });
-    const ownZone = (): Loads => toLoads(sum([own(), ...[...sameZone.values()].map(({ loads }) => loads)]));
+    const ownZone = (): Loads => [...sum([own(), ...[...sameZone.values()].map(({ loads }) => loads)])];
     return {
         forSameZone: () => ({
             ...commonFields(),
@@ -75,7 +79,7 @@
                     otherZones.set(zone, { atMs, loads });
                 }
             }
-            message.progress.forEach(({ upstream, ageMs }) =>
+            message.progress.forEach(([upstream, ageMs]) =>
                 registry.get(upstream)?.load.notePeerProgress(nowMs() - ageMs)
             );
             message.doubts.forEach(id => registry.get(id)?.load.notePeerSuspicion(nowMs()));
@@ -101,10 +105,6 @@
 
 function sum(parts: readonly Loads[]): Map<string, number> {
     const sums = new Map<string, number>();
-    parts.flat().forEach(({ upstream, running }) => sums.set(upstream, (sums.get(upstream) ?? 0) + running));
+    parts.flat().forEach(([upstream, running]) => sums.set(upstream, (sums.get(upstream) ?? 0) + running));
     return sums;
 }
-
-function toLoads(sums: ReadonlyMap<string, number>): Loads {
-    return [...sums].map(([upstream, running]) => ({ upstream, running }));
-}
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -16,11 +16,13 @@
 };
 
 const readEveryMs = 12_000;
+/** Processes often start together, and the first read comes before most of them have registered. */
+const secondReadAfterMs = 2_000;
 const retryMs = 700;
 
 export function startPeerDirectory(context: GatewayContext): PeerDirectory {
     const { settings, ports: { store }, timer, log, onFatalError, random } = context;
-    const { instance, availabilityZone, listeners, seeds } = settings;
+    const { instance, availabilityZone, listeners, seeds, cores } = settings;
     const ownAddress = listeners.peers === undefined ? undefined : `${listeners.peers.host}:${listeners.peers.port}`;
     const at = { table: instanceTable, key: instance };
     let running = true;
@@ -28,7 +30,7 @@
     let peers: readonly GatewayInstance[] = [];
 
     const register = async (): Promise<void> => {
-        const row: GatewayInstance = { instance, availabilityZone, address: ownAddress ?? "" };
+        const row: GatewayInstance = { instance, availabilityZone, address: ownAddress ?? "", cores };
         const outcome = await store.write({ expected: [], put: [{ ...at, text: JSON.stringify(row) }], remove: [] });
         registered = outcome.kind === "done";
     };
@@ -50,12 +52,15 @@
     const run = async (): Promise<void> => {
         // Processes often start together; a random delay spreads their registrations.
         await sleep(timer, retryMs * random());
+        let completeReads = 0;
         while (running) {
             if (!registered) {
                 await register();
             }
-            const isKnown = await read() && registered;
-            await sleep(timer, isKnown && peers.length > 0 ? readEveryMs * (0.8 + 0.4 * random()) : retryMs * 2);
+            const isKnown = await read() && registered && peers.length > 0;
+            completeReads += isKnown ? 1 : 0;
+            const pauseMs = completeReads === 1 ? secondReadAfterMs : readEveryMs;
+            await sleep(timer, isKnown ? pauseMs * (0.8 + 0.4 * random()) : retryMs * 2);
         }
     };
     run().catch(error => onFatalError("directory", error));
--- /dev/null
+++ b/packages/gateway/src/peers/stateFollower.ts
@@ -0,0 +1,111 @@
+/**
+ * Keeps the cluster state up to date through relays of the zone, and has the store watched only while that is needed.
+ *
+ * The notices of two relays are compared with the local state. What is missing is requested from the preferred relay
+ * at once, and from the other one if it is still missing a moment later.
+ */
+import { makeStateSource } from "@rattanquay/core";
+import { type GatewayInstance, type StateNotice } from "@rattanquay/schema";
+import { type ClusterStateWatch } from "../clusterState";
+import { type GatewayContext } from "../gatewayContext";
+import { type Links } from "./links";
+import { type PeerDirectory } from "./peerDirectory";
+import { applyStateAnswer, makeStateRequest } from "./stateAnswers";
+
+export type StateFollower = {
+    readonly receiveNotice: (notice: StateNotice) => void;
+    readonly noteSubscriber: () => void;
+    readonly stop: () => void;
+};
+
+export type StateFollowerOptions = {
+    readonly context: GatewayContext;
+    readonly watch: ClusterStateWatch;
+    readonly directory: PeerDirectory;
+    readonly links: Links;
+    /** Whether this process plans, and so must see the effects of its orders as early as possible. */
+    readonly isPlanner: () => boolean;
+};
+
+const stepEveryMs = 200;
+const subscribeEveryMs = 1_000;
+/** How long the preferred relay may take before the state is requested from the other one. */
+const otherRelayDelayMs = 250;
+const requestTimeoutMs = 500;
+
+export function startStateFollower(options: StateFollowerOptions): StateFollower {
+    const { context: { settings, timer, log }, watch, directory, links } = options;
+    const { clusterState } = watch;
+    const source = makeStateSource(settings.instance);
+    const subscribedAtMs = new Map<string, number>();
+    const requesting = new Set<string>();
+    let knownPeers: readonly GatewayInstance[] | undefined;
+    let relays: readonly string[] = [];
+    let readsStore = true;
+
+    const addressOf = (instance: string): string | undefined =>
+        directory.peers().find(peer => peer.instance === instance)?.address;
+    const updateCandidates = (): void => {
+        if (directory.peers() === knownPeers) {
+            return;
+        }
+        knownPeers = directory.peers();
+        const sameZone = knownPeers.filter(peer => peer.availabilityZone === settings.availabilityZone);
+        const own = { instance: settings.instance, cores: settings.cores };
+        source.setCandidates([own, ...sameZone.map(({ instance, cores = 1 }) => ({ instance, cores }))]);
+    };
+    const subscribe = (instance: string): void => {
+        const address = addressOf(instance);
+        if (address !== undefined && timer.nowMs() - (subscribedAtMs.get(instance) ?? -Infinity) >= subscribeEveryMs) {
+            subscribedAtMs.set(instance, timer.nowMs());
+            links.tell([address], { kind: "subscribe" });
+        }
+    };
+    const step = (): void => {
+        const nowMs = timer.nowMs();
+        updateCandidates();
+        relays = source.chooseRelays(nowMs);
+        relays.forEach(subscribe);
+        const isIncomplete = clusterState.routes() === undefined || !clusterState.hasCompleteList();
+        const mustRead = source.mustReadStore(nowMs) || isIncomplete || options.isPlanner();
+        if (mustRead !== readsStore) {
+            log.info("stateSource", { readsStore: mustRead, relays });
+            readsStore = mustRead;
+            watch.setActive(mustRead);
+        }
+    };
+    const isBehind = ({ configVersion, newestChange }: StateNotice): boolean =>
+        configVersion > (clusterState.routes()?.version ?? 0) || newestChange > clusterState.asOf();
+    const requestFrom = async (instance: string): Promise<void> => {
+        const address = addressOf(instance);
+        if (address === undefined || requesting.has(instance)) {
+            return;
+        }
+        requesting.add(instance);
+        const answer = await links.ask(address, makeStateRequest(clusterState), requestTimeoutMs);
+        requesting.delete(instance);
+        if (answer?.kind === "clusterState") {
+            applyStateAnswer(answer, clusterState);
+        }
+    };
+    const cancelSteps = timer.every(stepEveryMs, step);
+    return {
+        receiveNotice: notice => {
+            source.noteNotice(notice, timer.nowMs());
+            if (!isBehind(notice)) {
+                return;
+            }
+            if (notice.instance === relays[0]) {
+                void requestFrom(notice.instance);
+                return;
+            }
+            timer.after(otherRelayDelayMs, () => {
+                if (isBehind(notice)) {
+                    void requestFrom(notice.instance);
+                }
+            });
+        },
+        noteSubscriber: () => source.noteSubscriber(timer.nowMs()),
+        stop: cancelSteps,
+    };
+}
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -6,6 +6,8 @@
 export const GatewaySettings = z.object({
     instance: z.string().min(1),
     availabilityZone: z.string().min(1),
+    /** Processor capacity of this process, as a number of cores; duties for others go to the largest processes. */
+    cores: z.number().positive(),
     /** Whether the whole system is starting for the first time. */
     isFirstStart: z.boolean(),
     listeners: z.object({
--- a/packages/schema/src/gatewayPeer.ts
+++ b/packages/schema/src/gatewayPeer.ts
@@ -6,17 +6,19 @@
 const RemovedId = z.object({ id: z.string(), revision: z.number() });
 
 export const GatewayRequest = z.discriminatedUnion("kind", [
-    /** Requests all state newer than the sender's. */
-    z.object({ kind: z.literal("beliefs"), configVersion: z.number(), asOf: z.number() }),
+    /** Requests all cluster state newer than the sender's. */
+    z.object({ kind: z.literal("clusterState"), configVersion: z.number(), asOf: z.number() }),
     /** Requests that an order be forwarded to an instance that the sender cannot reach. */
     z.object({ kind: z.literal("passOrder"), upstream: UpstreamRecord, order: EngineOrder }),
 ]);
 export type GatewayRequest = z.infer<typeof GatewayRequest>;
 
-const UpstreamLoad = z.object({ upstream: z.string(), running: z.number() });
+/** An upstream's id and a number of requests there. A tuple, because messages hold many of them. */
+const UpstreamLoad = z.tuple([z.string(), z.number()]);
 
-/** Message without an answer: requests at each upstream, suspected upstreams, and signs of progress. */
+/** Requests at each upstream, suspected upstreams, and signs of progress. */
 export const GatewayLoads = z.object({
+    kind: z.literal("loads"),
     instance: z.string(),
     availabilityZone: z.string(),
     /** Requests that the sender itself has at each upstream. */
@@ -25,14 +27,39 @@
     zoneLoads: z.array(z.object({ availabilityZone: z.string(), ageMs: z.number(), loads: z.array(UpstreamLoad) })),
     /** Upstreams that the sender itself recently found unresponsive or refusing requests. */
     doubts: z.array(z.string()),
-    /** Time since data last arrived from an upstream, at the sender or at a process that reported it to the sender. */
-    progress: z.array(z.object({ upstream: z.string(), ageMs: z.number() })),
+    /**
+     * Ids of upstreams, and the milliseconds since data last arrived from each of them, at the sender or at a process
+     * that reported it to the sender.
+     */
+    progress: z.array(z.tuple([z.string(), z.number()])),
 });
 export type GatewayLoads = z.infer<typeof GatewayLoads>;
 
+/** Asks a relay for notices about the cluster state for the next few seconds. */
+export const StateSubscription = z.object({ kind: z.literal("subscribe") });
+
+/** Sent by a relay to its subscribers after each change, and at intervals without changes. */
+export const StateNotice = z.object({
+    kind: z.literal("stateNotice"),
+    instance: z.string(),
+    /** 0 if the relay knows no configuration. */
+    configVersion: z.number(),
+    /** The revision of the newest change of the list of upstreams. */
+    newestChange: z.number(),
+    /** Whether the store answered the relay's last calls. */
+    isCurrent: z.boolean(),
+    /** Whether the relay is shutting down and sends no further notices. */
+    isLeaving: z.boolean(),
+});
+export type StateNotice = z.infer<typeof StateNotice>;
+
+/** A message without an answer. */
+export const GatewayMessage = z.discriminatedUnion("kind", [GatewayLoads, StateSubscription, StateNotice]);
+export type GatewayMessage = z.infer<typeof GatewayMessage>;
+
 export const GatewayAnswer = z.discriminatedUnion("kind", [
     z.object({
-        kind: z.literal("beliefs"),
+        kind: z.literal("clusterState"),
         config: ServingConfig.optional(),
         /** Whether `records` holds all records, not only the newer ones. */
         isWhole: z.boolean(),
@@ -48,7 +75,7 @@
 export const GatewayFrame = z.discriminatedUnion("direction", [
     z.object({ direction: z.literal("ask"), number: z.number(), ask: GatewayRequest }),
     z.object({ direction: z.literal("answer"), number: z.number(), answer: GatewayAnswer }),
-    z.object({ direction: z.literal("tell"), loads: GatewayLoads }),
+    z.object({ direction: z.literal("tell"), message: GatewayMessage }),
 ]);
 export type GatewayFrame = z.infer<typeof GatewayFrame>;
 
@@ -58,5 +85,7 @@
     availabilityZone: z.string(),
     /** `HOST:PORT` of its listener for peers. */
     address: z.string(),
+    /** Processor capacity, as a number of cores. */
+    cores: z.number().optional(),
 });
 export type GatewayInstance = z.infer<typeof GatewayInstance>;
