Place most requests in their own zone

Cause: the four candidates of a placement were drawn uniformly from all zones, although a comment elsewhere said local ones came first. With five zones four of five were remote, and whichever was least loaded was mostly another zone's: bytes between zones, and each process had requests at heads of all zones, so that the tables of loads that processes exchange held every head five times.

Change: three of the four are drawn from the own zone, one from the others; more of the others if the own zone has fewer than three.

--- a/packages/core/src/serving/placement.ts
+++ b/packages/core/src/serving/placement.ts
@@ -2,8 +2,8 @@
  * Chooses the upstream that a request is sent to.
  *
  * Many entry instances choose concurrently, and each learns of the others' requests only after a delay. The default
- * policy predicts the time to the first event for a small random sample of candidates and takes the best, so that the
- * instances do not all choose the same upstream.
+ * policy predicts the time to the first event for a small random sample of candidates, most of them of the own zone, and
+ * takes the best, so that the instances do not all choose the same upstream.
  */
 import { type EngineModel, type EngineProfile } from "@rattanquay/schema";
 
@@ -36,15 +36,21 @@
 const remoteCostMs = 15;
 /** Penalty for opening a connection, beyond the handshake latency: upstreams accept a limited number of connections. */
 const connectionCostMs = 6;
-/** Number of candidates that the default policy compares. */
+/** Number of candidates that the default policy compares, and how many of them may be of the own zone. */
 const sampleSize = 4;
+const localSampleSize = 3;
 
 type Policy = (question: PlacementInput) => PlacementCandidate | undefined;
 
 /** Policies for choosing an upstream, by name. The first is the default; the others are baselines. */
 export const placementPolicies = {
     predictedFirstEvent: ({ candidates, predict, random }) =>
-        cheapest(sample(candidates, sampleSize, random), candidate => predict(candidate) + extraCostMs(candidate)),
+        cheapest(sampleByZone(candidates, random), candidate => predict(candidate) + extraCostMs(candidate)),
+    uniformSample: ({ candidates, predict, random }) =>
+        cheapest(
+            sample(candidates, sampleSize, random),
+            candidate => predict(candidate) + extraCostMs(candidate),
+        ),
     powerOfTwo: ({ candidates, random }) => cheapest(sample(candidates, 2, random), ({ load, slots }) => load / slots),
     leastLoaded: ({ candidates }) => cheapest(candidates, ({ load, slots }) => load / slots),
     random: ({ candidates, random }) => sample(candidates, 1, random)[0],
@@ -81,6 +87,15 @@
     return found?.candidate;
 }
 
+/**
+ * Mostly candidates of the own zone: traffic between zones is expensive, and an instance knows most about the load of
+ * upstreams that its own zone uses. One other shows whether another zone has room that this one lacks.
+ */
+function sampleByZone(candidates: readonly PlacementCandidate[], random: () => number): readonly PlacementCandidate[] {
+    const local = sample(candidates.filter(({ isLocal }) => isLocal), localSampleSize, random);
+    return [...local, ...sample(candidates.filter(({ isLocal }) => !isLocal), sampleSize - local.length, random)];
+}
+
 /** Takes a random sample of the candidates without replacement. */
 function sample(candidates: readonly PlacementCandidate[], count: number, random: () => number): PlacementCandidate[] {
     const left = [...candidates];
