Prefer large processes for planning, and plan and probe only what changed

It probed all 760 engine instances every 600 ms, before there was any request too, and ran a complete planning pass every 60 ms whether anything had changed or not (7 ms a pass at 760 instances, measured in a small program). Which of 195 processes held the lease was chance.

Change: the relays of the zones read the lease's row three times a second together and take an expired lease at once; the others read it every two seconds together and leave a second to the relays; with nothing known yet, a process waits in inverse proportion to its cores. A pass is due at once when the list, the configuration or the silent instances have changed or the last pass planned something, otherwise every 240 ms. Output of an open group within the last 700 ms proves all of its members: its head is then probed every 1.5 s and its members every 3 s. Before the first request everything is probed every 2 s.

Weighed: probing shared out over all processes of a zone, which divides the cost but not the number of probes.

Tests: planningLease (delays join the fuzzing), probeIntervals, planTrigger; each new.

--- a/packages/core/src/engineGroups/index.ts
+++ b/packages/core/src/engineGroups/index.ts
@@ -13,4 +13,5 @@
     orphanedHeads,
 } from "./fleetView";
 export { type GroupPlanner, makeGroupPlanner, type OrderOutcome, type PlannerOptions } from "./groupPlanner";
+export { probeIntervals } from "./probeIntervals";
 export { makeWeightLoadTracker, type WeightLoadTracker } from "./weightLoadTracker";
--- a/packages/core/src/serving/__tests__/planningLease.test.ts
+++ b/packages/core/src/serving/__tests__/planningLease.test.ts
@@ -35,14 +35,19 @@
 class Candidate {
     state: PlanningLeaseState = initialPlanningLease;
     pausedUntilMs = 0;
-    constructor(readonly name: string, readonly offsetMs: number, readonly store: Store) {}
+    constructor(
+        readonly name: string,
+        readonly offsetMs: number,
+        readonly store: Store,
+        readonly takeDelayMs: number = 0,
+    ) {}
 
     now(): number {
         return this.store.nowMs() + this.offsetMs;
     }
 
     step(outcome: "answered" | "lost" | "refused"): void {
-        const options = { holder: this.name, termMs, readEveryMs: 400 };
+        const options = { holder: this.name, termMs, readEveryMs: 400, takeDelayMs: this.takeDelayMs };
         const sentAtMs = this.now();
         const step = nextPlanningStep(this.state, options, sentAtMs);
         if (step.kind === "wait") {
@@ -59,6 +64,9 @@
     }
 }
 
+/** Some candidates leave others time to take an expired lease. */
+const takeDelaysMs = [0, 90, 400, 1_000];
+
 const plans = (candidate: Candidate): boolean => mayPlan(candidate.state, { termMs }, candidate.now());
 
 for (let seed = 1; seed <= 40; seed++) {
@@ -67,7 +75,9 @@
         const draw = (below: number): number => unsafeUniformIntDistribution(0, below - 1, generator);
         let nowMs = 1_000;
         const store = new Store(() => nowMs);
-        const candidates = [0, 1, 2, 3].map(index => new Candidate(`p${index}`, draw(100_000), store));
+        const candidates = takeDelaysMs.map((takeDelayMs, index) =>
+            new Candidate(`p${index}`, draw(100_000), store, takeDelayMs)
+        );
         let heldMs = 0;
         for (let tick = 0; tick < 3_000; tick++) {
             nowMs += 20;
@@ -109,4 +119,20 @@
     assert.not.ok(plans(first));
 });
 
+test("a candidate that leaves time to others takes the lease only if no other does", () => {
+    const holderAfter = (names: readonly string[]): string | undefined => {
+        let nowMs = 0;
+        const store = new Store(() => nowMs);
+        const delays: Readonly<Record<string, number>> = { preferred: 0, other: 1_000 };
+        const candidates = names.map(name => new Candidate(name, 0, store, delays[name]));
+        for (let ticks = 0; ticks < 200; ticks++) {
+            nowMs += 20;
+            candidates.forEach(candidate => candidate.step("answered"));
+        }
+        return store.row?.holder;
+    };
+    assert.is(holderAfter(["other", "preferred"]), "preferred");
+    assert.is(holderAfter(["other"]), "other");
+});
+
 test.run();
--- a/packages/core/src/serving/planningLease.ts
+++ b/packages/core/src/serving/planningLease.ts
@@ -34,6 +34,8 @@
     readonly termMs: number;
     /** Minimum time between two reads by a candidate. */
     readonly readEveryMs: number;
+    /** Time that this candidate leaves to others, which suit the duty better, before it takes an expired lease. */
+    readonly takeDelayMs: number;
 };
 
 export const initialPlanningLease: LeaseState = { reading: undefined, held: undefined, nextRequestAtMs: 0 };
@@ -88,10 +90,10 @@
         const held = { fence: row.fence, revision, untilMs };
         return { reading, held, nextRequestAtMs: sentAtMs + options.termMs * renewAfterShare };
     }
-    // An expired term is taken at once; a running one is read again when it ends, but not before `readEveryMs`.
+    // A running term is read again when it ends, but not before `readEveryMs`.
     const leftMs = row === undefined || hasExpired(reading) ? 0 : row.untilStoreMs - storeNowMs;
-    const nextAskAtMs = leftMs === 0 ? 0 : sentAtMs + Math.max(leftMs, options.readEveryMs);
-    return { reading, held: undefined, nextRequestAtMs: nextAskAtMs };
+    const waitMs = leftMs === 0 ? options.takeDelayMs : Math.max(leftMs, options.readEveryMs);
+    return { reading, held: undefined, nextRequestAtMs: sentAtMs + waitMs };
 }
 
 /** Records that a request failed, had an unknown outcome or lost to another writer: the row must be read again. */
--- a/packages/core/src/stateSource/index.ts
+++ b/packages/core/src/stateSource/index.ts
@@ -1,2 +1,2 @@
 /** From where an entry instance learns the cluster state. */
-export { makeStateSource, type RelayCandidate, type RelayNotice, type StateSource } from "./stateSource";
+export { makeStateSource, type RelayCandidate, type RelayNotice, relaysPerZone, type StateSource } from "./stateSource";
--- a/packages/core/src/stateSource/stateSource.ts
+++ b/packages/core/src/stateSource/stateSource.ts
@@ -20,6 +20,8 @@
 export type StateSource = {
     /** Sets the instances of the zone, including this one. */
     readonly setCandidates: (candidates: readonly RelayCandidate[]) => void;
+    /** Whether this instance is a relay by its rank in the zone. */
+    readonly isRelay: () => boolean;
     /** Returns the relays to subscribe to, the preferred one first. A relay itself subscribes to none. */
     readonly chooseRelays: (nowMs: number) => readonly string[];
     readonly noteNotice: (notice: RelayNotice, nowMs: number) => void;
@@ -29,7 +31,7 @@
 };
 
 /** Each instance that is not a relay subscribes to this many, so that one may fail unnoticed. */
-const relaysPerZone = 2;
+export const relaysPerZone = 2;
 /** A relay without a notice for this long is replaced; relays send at least two notices in this time. */
 const noticeTimeoutMs = 1_000;
 /** A replaced relay is not chosen again before this time has passed. */
@@ -64,6 +66,7 @@
         setCandidates: candidates => {
             ranking = rank(candidates);
         },
+        isRelay: isRelayByRank,
         chooseRelays: nowMs => {
             excludeSilent(nowMs);
             const usable = ranking.filter(instance =>
--- a/packages/gateway/src/control/fleetMonitor.ts
+++ b/packages/gateway/src/control/fleetMonitor.ts
@@ -1,4 +1,5 @@
 /** Monitors engine instances for the planner: reachability, utilization by model, and whether there is any traffic. */
+import { probeIntervals } from "@rattanquay/core";
 import { type EngineGroup, type EngineProfile } from "@rattanquay/schema";
 import { type ClusterState } from "../clusterState";
 import { type GatewayContext } from "../gatewayContext";
@@ -20,10 +21,17 @@
 const utilizationSmoothing = 0.15;
 const summaryEveryMs = 1_000;
 
+export type FleetMonitorOptions = {
+    readonly clusterState: ClusterState;
+    /** Whether this process has received any caller request. */
+    readonly ownTraffic: () => boolean;
+    /** When any process last received anything from an upstream, as far as known here. */
+    readonly progressAtMs: (id: string) => number;
+};
+
 export function makeFleetMonitor(
     { ports: { engines }, timer, log, settings }: GatewayContext,
-    clusterState: ClusterState,
-    ownTraffic: () => boolean,
+    { clusterState, ownTraffic, progressAtMs }: FleetMonitorOptions,
 ): FleetMonitor {
     const prober = makeProber(engines, timer, log);
     const utilization = new Map<string, number>();
@@ -56,7 +64,7 @@
         update: () => {
             const profiles = engineProfiles();
             const records = [...clusterState.upstreams().values()].filter(({ service }) => profiles.has(service));
-            prober.probe(records);
+            prober.probe(records, probeIntervals(records, { nowMs: timer.nowMs(), progressAtMs, hasTraffic }));
             hasTraffic ||= ownTraffic() || records.some(({ id }) => (prober.reportOf(id)?.running ?? 0) > 0);
             profiles.forEach(({ models, slots }) => models.forEach(({ model }) => noteUtilization(model, slots)));
         },
--- a/packages/gateway/src/control/leaseKeeper.ts
+++ b/packages/gateway/src/control/leaseKeeper.ts
@@ -12,6 +12,7 @@
 import { PlanningLease } from "@rattanquay/schema";
 import { type GatewayContext } from "../gatewayContext";
 import { parseRow } from "../parseRow";
+import { type PlanningCandidacy } from "../peers";
 import { type RowTransaction, type StoreOutcome } from "../ports";
 import { leaseKey, leaseTable } from "./tables";
 
@@ -31,21 +32,39 @@
 };
 
 const termMs = 1_500;
-/** Lease reads a second by all candidates together, so that an expired lease is noticed soon whatever their number. */
-const readsPerSecond = 4;
+/**
+ * Lease reads a second by all preferred candidates together, and by all others, so that an expired lease is noticed soon
+ * whatever their number.
+ */
+const preferredReadsPerSecond = 3;
+const otherReadsPerSecond = 0.5;
+/** Time that candidates that are not preferred leave to the preferred ones; shorter than a term. */
+const otherTakeDelayMs = 1_000;
+/** Time that a candidate with one core leaves to larger ones, in inverse proportion to its cores, and its maximum. */
+const oneCoreTakeDelayMs = 120;
+const maxCoreTakeDelayMs = 400;
+const msPerSecond = 1_000;
 /** Pause before the lease row is read again after a call with an unclear outcome. */
 const unclearOutcomePauseMs = 150;
 
-export function makeLeaseKeeper(context: GatewayContext, instances: () => number): LeaseKeeper {
+export function makeLeaseKeeper(context: GatewayContext, candidacy: () => PlanningCandidacy): LeaseKeeper {
     const { ports: { store }, settings, timer, log, metrics, random } = context;
     // A restarted process has lost its state about orders, so it must count as a new holder despite its unchanged name.
     const holder = `${settings.instance}/${Math.floor(random() * Number.MAX_SAFE_INTEGER).toString(36)}`;
     let state: PlanningLeaseState = initialPlanningLease;
-    const options = (): LeaseOptions => ({
-        holder,
-        termMs,
-        readEveryMs: Math.max(termMs / 4, instances() / readsPerSecond * 1_000) * (0.5 + random()),
-    });
+    const options = (): LeaseOptions => {
+        const { isPreferred, preferredCount, otherCount } = candidacy();
+        const sharedReadMs = isPreferred
+            ? preferredCount / preferredReadsPerSecond * msPerSecond
+            : otherCount / otherReadsPerSecond * msPerSecond;
+        return {
+            holder,
+            termMs,
+            readEveryMs: Math.max(termMs / 4, sharedReadMs) * (0.5 + random()),
+            takeDelayMs: (isPreferred ? 0 : otherTakeDelayMs)
+                + Math.min(maxCoreTakeDelayMs, oneCoreTakeDelayMs / settings.cores),
+        };
+    };
     const isHeld = (): boolean => mayPlan(state, { termMs }, timer.nowMs());
 
     const setState = (next: PlanningLeaseState): void => {
--- a/packages/gateway/src/control/planningTask.ts
+++ b/packages/gateway/src/control/planningTask.ts
@@ -8,12 +8,12 @@
 import { type AddressedEngineOrder, type GroupPlanner, makeGroupPlanner } from "@rattanquay/core";
 import { type EngineOrder, type UpstreamRecord } from "@rattanquay/schema";
 import { startTask } from "@rattanquay/task";
-import { type ClusterState } from "../clusterState";
 import { type GatewayContext } from "../gatewayContext";
-import { type PassedOrder } from "../peers";
-import { makeFleetMonitor } from "./fleetMonitor";
+import { type PassedOrder, type PlanningCandidacy } from "../peers";
+import { type FleetMonitorOptions, makeFleetMonitor } from "./fleetMonitor";
 import { makeGroupRows } from "./groupRows";
 import { makeLeaseKeeper } from "./leaseKeeper";
+import { makePlanTrigger } from "./planTrigger";
 
 export type Planning = {
     readonly isPlanner: () => boolean;
@@ -22,12 +22,9 @@
     readonly close: () => void;
 };
 
-export type PlanningOptions = {
+export type PlanningOptions = FleetMonitorOptions & {
     readonly context: GatewayContext;
-    readonly clusterState: ClusterState;
-    readonly instances: () => number;
-    /** Whether this process has received any caller request. */
-    readonly ownTraffic: () => boolean;
+    readonly candidacy: () => PlanningCandidacy;
     /** Asks peers to send an order that this process got no answer to. */
     readonly passOrder: (upstream: UpstreamRecord, order: EngineOrder) => Promise<PassedOrder>;
 };
@@ -44,11 +41,12 @@
 export function startPlanning(options: PlanningOptions): Planning {
     const { context, clusterState } = options;
     const { timer, settings, onFatalError } = context;
-    const lease = makeLeaseKeeper(context, options.instances);
+    const lease = makeLeaseKeeper(context, options.candidacy);
     const planner = makeGroupPlanner(settings.bounds);
     const rows = makeGroupRows(context, lease);
-    const fleet = makeFleetMonitor(context, clusterState, options.ownTraffic);
+    const fleet = makeFleetMonitor(context, options);
     const sendOrder = makeOrderSender(options, planner);
+    const trigger = makePlanTrigger(timer.nowMs);
     let termFence = 0;
 
     const readRows = async (): Promise<void> => {
@@ -72,6 +70,9 @@
         }
         fleet.update();
         fleet.summarize(groups);
+        if (!trigger.isDue([clusterState.upstreams(), config, ...fleet.unreachable()])) {
+            return;
+        }
         const plan = planner.plan({
             nowMs: timer.nowMs(),
             services: config.services,
@@ -82,14 +83,17 @@
             hasTraffic: fleet.hasTraffic(),
             fence: lease.fence(),
         });
-        const { form, rewrite, remove, loads } = plan;
+        const { form, rewrite, remove, loads, orders } = plan;
+        if (form.length + rewrite.length + remove.length + orders.length > 0) {
+            trigger.reset();
+        }
         const limitRows = <T>(planned: readonly T[]): readonly T[] => planned.slice(0, maxRows);
         if (
             !await rows.write({ form: limitRows(form), rewrite: limitRows(rewrite), remove: limitRows(remove), loads })
         ) {
             return;
         }
-        for (const addressed of plan.orders) {
+        for (const addressed of orders) {
             if (!lease.mayPlan()) {
                 return;
             }
--- a/packages/gateway/src/control/prober.ts
+++ b/packages/gateway/src/control/prober.ts
@@ -11,8 +11,8 @@
 import { type EngineControl } from "../ports";
 
 export type Prober = {
-    /** Probes the instances that are due, without waiting for their answers. */
-    readonly probe: (records: readonly UpstreamRecord[]) => void;
+    /** Probes the instances that are due by their intervals, without waiting for their answers. */
+    readonly probe: (records: readonly UpstreamRecord[], intervalsMs: ReadonlyMap<string, number>) => void;
     readonly unreachable: () => ReadonlySet<string>;
     readonly reportOf: (id: string) => EngineReport | undefined;
     readonly reset: () => void;
@@ -20,9 +20,10 @@
 
 /** An instance that does not answer within this time, many round trips, counts as silent. */
 const probeTimeoutMs = 300;
-const probeEveryMs = 600;
 /** Delay before a silent instance is probed again. */
 const retryProbeMs = 40;
+/** Interval for an unreachable instance, whatever its group's output shows: it may be unreachable from here only. */
+const silentProbeMs = 600;
 /** Consecutive unanswered probes that make an instance unreachable: a single one may be due to a lost packet. */
 const unreachableAfter = 3;
 /** A probe that ends this long after its timeout shows that this process was paused, so its result is ignored. */
@@ -53,14 +54,14 @@
         }
     };
     return {
-        probe: records => {
+        probe: (records, intervalsMs) => {
             const listed = new Set(records.map(({ id }) => id));
             [...probeStates.keys()].filter(id => !listed.has(id)).forEach(id => probeStates.delete(id));
             for (const record of records) {
                 const entry = probeStates.get(record.id)
                     ?? { probedAtMs: -Infinity, silences: 0, isProbing: false, report: undefined };
                 probeStates.set(record.id, entry);
-                const everyMs = isSuspect(entry) ? retryProbeMs : probeEveryMs;
+                const everyMs = intervalOf(entry, intervalsMs.get(record.id) ?? silentProbeMs);
                 if (!entry.isProbing && timer.nowMs() - entry.probedAtMs >= everyMs) {
                     void probeOne(record, entry);
                 }
@@ -77,7 +78,9 @@
     };
 }
 
-/** Silent at the last probe, but not yet unreachable. */
-function isSuspect({ silences }: ProbeState): boolean {
-    return silences > 0 && silences < unreachableAfter;
+function intervalOf({ silences }: ProbeState, answeringMs: number): number {
+    if (silences === 0) {
+        return answeringMs;
+    }
+    return silences < unreachableAfter ? retryProbeMs : silentProbeMs;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -64,8 +64,9 @@
     const planning = startPlanning({
         context,
         clusterState,
-        instances,
+        candidacy: peers.candidacy,
         ownTraffic: () => requests > 0,
+        progressAtMs: id => registry.get(id)?.load.progressAtMs() ?? -Infinity,
         passOrder: peers.passOrder,
     });
     Object.assign(components, { planning, peers });
--- a/packages/gateway/src/peers/index.ts
+++ b/packages/gateway/src/peers/index.ts
@@ -1,3 +1,3 @@
 /** Communication with the other gateway processes. */
 export { type PassedOrder } from "./passOrder";
-export { type Peers, startPeers } from "./peers";
+export { type Peers, type PlanningCandidacy, startPeers } from "./peers";
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -2,6 +2,7 @@
  * Communicates with the other gateway processes: exchanges load information, shares cluster state while the store is
  * unavailable, and sends orders on behalf of a process that cannot reach an instance itself.
  */
+import { relaysPerZone } from "@rattanquay/core";
 import { startPeerListener } from "@rattanquay/peer";
 import {
     type EngineOrder,
@@ -23,9 +24,21 @@
 import { startStateFollower } from "./stateFollower";
 import { startStateRelay } from "./stateRelay";
 
+/**
+ * How this process competes for the planning lease. Relays are preferred: they know the cluster state first and have
+ * the most processor of their zones.
+ */
+export type PlanningCandidacy = {
+    readonly isPreferred: boolean;
+    /** The numbers of preferred candidates and of others, over all zones. */
+    readonly preferredCount: number;
+    readonly otherCount: number;
+};
+
 export type Peers = {
     /** The number of gateway processes, including this one. */
     readonly instances: () => number;
+    readonly candidacy: () => PlanningCandidacy;
     readonly passOrder: (upstream: UpstreamRecord, order: EngineOrder) => Promise<PassedOrder>;
     /** Removes this process from the directory, so that peers no longer send requests to it. */
     readonly leave: () => Promise<void>;
@@ -108,6 +121,15 @@
     const cancelLoads = startGossipRounds(context, gossip, directory, links);
     return {
         instances: () => directory.peers().length + 1,
+        candidacy: () => {
+            const zones = new Set([availabilityZone, ...directory.peers().map(peer => peer.availabilityZone)]);
+            const preferredCount = zones.size * relaysPerZone;
+            return {
+                isPreferred: follower.isRelay(),
+                preferredCount,
+                otherCount: Math.max(0, directory.peers().length + 1 - preferredCount),
+            };
+        },
         passOrder: makeOrderPasser(context, directory, links),
         leave: () => {
             relay.leave();
--- a/packages/gateway/src/peers/stateFollower.ts
+++ b/packages/gateway/src/peers/stateFollower.ts
@@ -15,6 +15,8 @@
 export type StateFollower = {
     readonly receiveNotice: (notice: StateNotice) => void;
     readonly noteSubscriber: () => void;
+    /** Whether this process is a relay of its zone. */
+    readonly isRelay: () => boolean;
     readonly stop: () => void;
 };
 
@@ -105,6 +107,7 @@
                 }
             });
         },
+        isRelay: source.isRelay,
         noteSubscriber: () => source.noteSubscriber(timer.nowMs()),
         stop: cancelSteps,
     };
