Log changes of upstreams in batches

Each row was also decoded twice.

Change: one line for up to 40 changes, which `explain` reads as one event for each; rows are decoded once; the planner polls the list at most every 100 ms instead of 40.

--- a/packages/cli/src/__tests__/explain.test.ts
+++ b/packages/cli/src/__tests__/explain.test.ts
@@ -48,6 +48,19 @@
     test(`log lines: ${name}`, () => assert.is(parseLogLines(text).length, read));
 }
 
+test("a line about several upstreams is read as one event for each of them", () => {
+    const changes = [{ upstream: "i-1", group: "g1/0/open", revision: 7 }, {
+        upstream: "i-2",
+        isGone: true,
+        revision: 8,
+    }];
+    const lines = parseLogLines(line(2, "edge-1", "upstreamsChanged", { origin: "peer", changes }));
+    assert.equal(lines.map(({ event, fields }) => ({ event, ...fields })), [
+        { event: "upstreamSeen", origin: "peer", upstream: "i-1", group: "g1/0/open", revision: 7 },
+        { event: "upstreamGone", origin: "peer", upstream: "i-2", revision: 8 },
+    ]);
+});
+
 test("the timeline has the lines of the request in order of time, and no others", () => {
     const timeline = requestTimeline("r1", parseLogLines(logs.join("\n")));
     assert.equal(timeline.map(({ line: { event } }) => event), ["sendFell", "requestEnded"]);
--- a/packages/cli/src/explain/logLine.ts
+++ b/packages/cli/src/explain/logLine.ts
@@ -22,10 +22,27 @@
 export function parseLogLines(text: string): readonly LogLine[] {
     return text.split("\n").flatMap(line => {
         const start = line.indexOf("{");
-        return start < 0 ? [] : parseLine(line.slice(start)) ?? [];
+        const parsed = start < 0 ? undefined : parseLine(line.slice(start));
+        return parsed === undefined ? [] : expandChanges(parsed);
     });
 }
 
+const UpstreamChanges = z.array(z.looseObject({ upstream: z.string(), isGone: z.boolean().optional() }));
+
+/** Splits a line about several upstreams into one event for each: `upstreamSeen` or `upstreamGone`. */
+function expandChanges(line: LogLine): readonly LogLine[] {
+    const { changes, ...common } = line.fields;
+    const parsed = UpstreamChanges.safeParse(changes);
+    if (line.event !== "upstreamsChanged" || !parsed.success) {
+        return [line];
+    }
+    return parsed.data.map(({ isGone, ...change }) => ({
+        ...line,
+        event: isGone === true ? "upstreamGone" : "upstreamSeen",
+        fields: { ...common, ...change },
+    }));
+}
+
 function parseLine(json: string): LogLine | undefined {
     let input: unknown;
     try {
--- a/packages/gateway/src/clusterState/clusterState.ts
+++ b/packages/gateway/src/clusterState/clusterState.ts
@@ -42,6 +42,10 @@
     readonly onConfiguration: (listener: () => void) => void;
 };
 
+/** A change as logged. */
+type UpstreamChange = { readonly upstream: string; readonly revision: number };
+
+const changesPerLine = 40;
 /** Maximum number of tombstones; the oldest are dropped. */
 const maxTombstones = 2_000;
 
@@ -64,6 +68,12 @@
         metrics.upstreams.set(currentUpstreams.size);
         listeners.forEach(listener => listener(ids));
     };
+    /** Logs many changes in few lines: each process of a large fleet sees every change. */
+    const logChanges = (changes: readonly UpstreamChange[], origin: Origin): void => {
+        for (let start = 0; start < changes.length; start += changesPerLine) {
+            log.info("upstreamsChanged", { origin, changes: changes.slice(start, start + changesPerLine) });
+        }
+    };
     const applyRecord = ({ value, revision }: Revisioned<UpstreamRecord>): boolean => {
         const known = records.get(value.id)?.revision ?? tombstones.get(value.id) ?? 0;
         if (revision <= known) {
@@ -86,12 +96,12 @@
     };
     const takeRecords: ClusterState["applyRecords"] = (dated, origin) => {
         const changed = dated.filter(applyRecord);
-        changed.forEach(({ value, revision }) => log.info("upstreamSeen", { ...summary(value), revision, origin }));
+        logChanges(changed.map(({ value, revision }) => ({ ...summary(value), revision })), origin);
         publish(changed.map(({ value }) => value.id));
     };
     const takeRemovals: ClusterState["applyRemovals"] = (gone, origin) => {
         const changed = gone.filter(applyRemoval);
-        changed.forEach(({ id, revision }) => log.info("upstreamGone", { upstream: id, revision, origin }));
+        logChanges(changed.map(({ id, revision }) => ({ upstream: id, isGone: true, revision })), origin);
         publish(changed.map(({ id }) => id));
     };
     return {
--- a/packages/gateway/src/clusterState/watchClusterState.ts
+++ b/packages/gateway/src/clusterState/watchClusterState.ts
@@ -18,7 +18,7 @@
  * Minimum interval between two polls for upstream changes. The planner polls faster, because it sees the effects of its
  * orders in them. Other processes only need to notice leaving upstreams in time, and each poll has a cost.
  */
-const plannerPollMs = 40;
+const plannerPollMs = 100;
 const defaultPollMs = 600;
 /**
  * Upstreams that are alive register again within about two seconds after a store outage in which their entries expired.
@@ -46,14 +46,21 @@
         reader: { onSnapshot: applyConfigurations, onChanges: ({ rows }) => applyConfigurations(rows) },
     }, context);
 
-    const decode = (rows: readonly StoredRow[]): readonly Revisioned<UpstreamRecord>[] =>
-        rows.flatMap(row => {
+    /** Upstreams whose rows cannot be decoded any longer count as removed. */
+    const decode = (rows: readonly StoredRow[]) => {
+        const records: Revisioned<UpstreamRecord>[] = [];
+        const unreadable: RemovedRow[] = [];
+        for (const row of rows) {
             const value = upstreamSource.decode(row);
-            return value === undefined ? [] : [{ value, revision: row.revision }];
-        });
-    /** Rows that cannot be decoded; the upstreams that they described before are removed. */
-    const unreadable = (rows: readonly StoredRow[]): readonly RemovedRow[] =>
-        rows.filter(row => upstreamSource.decode(row) === undefined);
+            if (value === undefined) {
+                unreadable.push(row);
+            }
+            else {
+                records.push({ value, revision: row.revision });
+            }
+        }
+        return { records, unreadable };
+    };
     const afterOutage = (action: () => void): void => {
         const returnedAtMs = upstreams.returnedAtMs();
         const leftMs = returnedAtMs === undefined ? 0 : returnedAtMs + removalGraceMs - timer.nowMs();
@@ -69,15 +76,16 @@
         knownRevision: clusterState.asOf,
         reader: {
             onSnapshot: (rows, asOf) => {
-                const records = decode(rows);
+                const { records } = decode(rows);
                 clusterState.applyRecords(records, "store");
                 const isFirst = !clusterState.hasCompleteList();
                 const applyList = (): void => clusterState.applySnapshot(records, asOf, "store");
                 (isFirst ? (action: () => void) => action() : afterOutage)(applyList);
             },
             onChanges: ({ rows, removed }, asOf) => {
-                clusterState.applyRecords(decode(rows), "store");
-                const gone = [...removed, ...unreadable(rows)].map(({ key: id, revision }) => ({ id, revision }));
+                const { records, unreadable } = decode(rows);
+                clusterState.applyRecords(records, "store");
+                const gone = [...removed, ...unreadable].map(({ key: id, revision }) => ({ id, revision }));
                 // A peer that asks for the changes after a revision must not miss removals that are still delayed.
                 afterOutage(() => {
                     clusterState.applyRemovals(gone, "store");
