Bound what upstreams, the store and slow callers can make a process hold, and detect resets of unframed answers

Causes, each shown by a test that failed first: - An answer without a length or chunked framing that was reset right after its last bytes was passed on as complete. When data and a reset arrive together, Node reports a normal end (a small program showed `end` in 12 of 12 resets under flow; a write afterwards failed in 6 of 6 resets and in none of 6 closes). Such a connection is now written to once at its end: a failure means a reset. - Bytes of a stream that never end an event were collected without a bound and searched from the start with each chunk; the answer of the store was collected without a bound; a caller that read slowly made the process buffer whatever the upstream sent.

Ruled out: status lines, headers, chunk sizes and interim answers without end; Node's parser ends the first three, the request's time-out the last. Peers' frames were bounded already.

--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -4,6 +4,7 @@
 import { type Socket } from "node:net";
 import { type AnswerHead, type RawHeaders, type RequestCodec } from "../ports";
 import { type KnownUpstream } from "../upstreams";
+import { detectReset } from "./resetDetection";
 
 /** How an attempt ended. Each attempt ends exactly once. */
 export type AttemptEnd =
@@ -18,7 +19,8 @@
 
 export type AttemptEvents = {
     readonly onHead: (head: AnswerHead, answer: IncomingMessage) => void;
-    readonly onBytes: (bytes: Buffer) => void;
+    /** Returns whether to read on; otherwise reading pauses until `Attempt.resume`. */
+    readonly onBytes: (bytes: Buffer) => boolean;
     readonly onEnd: (end: AttemptEnd) => void;
 };
 
@@ -26,6 +28,8 @@
     readonly startedAtMs: number;
     /** Aborts the attempt, which ends as `cut`, or as `unreached` if nothing was sent. */
     readonly abort: (reason: string) => void;
+    /** Continues to read the answer after a pause. */
+    readonly resume: () => void;
 };
 
 export type AttemptOptions = {
@@ -48,6 +52,8 @@
     let mayHaveBeenSent = false;
     let ended = false;
     let abortReason: string | undefined;
+    let hasHead = false;
+    let pausedAnswer: IncomingMessage | undefined;
     const client = openRequest(options);
     load.start();
     const finish = (end: AttemptEnd): void => {
@@ -82,17 +88,30 @@
             fail("the answer belongs to another request");
             return;
         }
+        hasHead = true;
         updateLoad(head, upstream, timer.nowMs());
         if (head.isNotRun) {
             answer.resume();
             finish({ kind: "rejected", head });
             return;
         }
-        readAnswer(answer, head, events, { finish, fail, load: upstream.load, timer });
+        const pause = (): void => {
+            answer.pause();
+            pausedAnswer = answer;
+        };
+        readAnswer(answer, head, events, { finish, fail, pause, load: upstream.load, timer });
+    });
+    client.on("close", () => {
+        if (!hasHead) {
+            fail("closed without an answer");
+        }
     });
-    client.on("close", () => fail("closed without an answer"));
     client.end(options.body);
-    return { startedAtMs: timer.nowMs(), abort };
+    const resume = (): void => {
+        pausedAnswer?.resume();
+        pausedAnswer = undefined;
+    };
+    return { startedAtMs: timer.nowMs(), abort, resume };
 }
 
 function openRequest({ upstream, method, target, headers }: AttemptOptions): ClientRequest {
@@ -135,6 +154,7 @@
 type AnswerHandlers = {
     readonly finish: (end: AttemptEnd) => void;
     readonly fail: (reason: string) => void;
+    readonly pause: () => void;
     readonly load: KnownUpstream["load"];
     readonly timer: Timer;
 };
@@ -143,14 +163,31 @@
     answer: IncomingMessage,
     head: AnswerHead,
     events: AttemptEvents,
-    { finish, fail, load, timer }: AnswerHandlers,
+    { finish, fail, pause, load, timer }: AnswerHandlers,
 ): void {
     events.onHead(head, answer);
     answer.on("data", (bytes: Buffer) => {
         load.noteProgress(timer.nowMs());
-        events.onBytes(bytes);
+        if (!events.onBytes(bytes)) {
+            pause();
+        }
+    });
+    const isReset = head.hasMarkedEnd ? Promise.resolve(false) : detectReset(answer.socket);
+    answer.on("end", () => {
+        if (!answer.complete) {
+            fail("the answer broke off");
+            return;
+        }
+        if (head.hasMarkedEnd) {
+            finish({ kind: "whole" });
+            return;
+        }
+        void isReset.then(hasBrokenOff => hasBrokenOff ? fail("the answer broke off") : finish({ kind: "whole" }));
     });
-    answer.on("end", () => answer.complete ? finish({ kind: "whole" }) : fail("the answer broke off"));
     answer.on("error", error => fail((error as NodeJS.ErrnoException).code ?? error.message));
-    answer.on("close", () => fail("the answer broke off"));
+    answer.on("close", () => {
+        if (!answer.complete) {
+            fail("the answer broke off");
+        }
+    });
 }
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -179,6 +179,21 @@
         let hasHead = false;
         let hasBytes = false;
         let lastBytesAtMs = timer.nowMs();
+        let isPaused = false;
+        const { response } = admitted;
+        /** Waits until a caller that reads slowly has taken what is buffered for it. */
+        const pauseForCaller = (): boolean => {
+            if (!response.writableNeedDrain || isPaused) {
+                return !isPaused;
+            }
+            isPaused = true;
+            response.once("drain", () => {
+                isPaused = false;
+                lastBytesAtMs = timer.nowMs();
+                attempt.resume();
+            });
+            return false;
+        };
         const abortFor = (reason: string | undefined): void => {
             if (reason !== undefined) {
                 attempt.abort(reason);
@@ -198,6 +213,7 @@
                 if (!this.hasEnded) {
                     abortFor(reader.onBytes(bytes));
                 }
+                return pauseForCaller();
             },
             onEnd: end => {
                 this.cancelStallWatch();
@@ -210,6 +226,9 @@
         const attempt = startAttempt(this.optionsFor(placement), events);
         this.currentAttempt = attempt;
         const isStalled = (nowMs: number): boolean => {
+            if (isPaused) {
+                return false;
+            }
             const verdict = detectStall({
                 isEngine: admitted.service.engine !== undefined,
                 objectiveMs: admitted.route.objectiveMs,
--- a/packages/gateway/src/exchange/index.ts
+++ b/packages/gateway/src/exchange/index.ts
@@ -4,4 +4,5 @@
 export { type Attempt, type AttemptEnd, startAttempt } from "./attempt";
 export { type ExchangeOutcome, runExchange } from "./exchange";
 export { type ExchangeDependencies } from "./exchangeDependencies";
+export { detectReset } from "./resetDetection";
 export { makeStallWatch, type StallWatch } from "./stallWatch";
--- a/packages/gateway/src/exchange/relays.ts
+++ b/packages/gateway/src/exchange/relays.ts
@@ -177,7 +177,7 @@
                         response.write(event.bytes, "latin1");
                     }
                 }
-                return undefined;
+                return splitter.isTooLarge() ? "an event has no end" : undefined;
             },
             onEnd: end => {
                 if (end.kind !== "whole") {
