Probe engine instances from their own zones, and take the list of processes from relays

Change: the process of first rank in each zone probes the zone's instances and sends the lease holder the silent ones and the load of heads four times a second; the holder probes zones without a report in the last 0.9 s. After two reads at the start the directory comes from a relay. A process whose relays announce a change and do not deliver it for 0.8 s reads the store.

Weighed: sharing the probes over all processes of a zone (more messages, and a share for each has to be agreed on).

--- a/packages/core/src/stateSource/stateSource.ts
+++ b/packages/core/src/stateSource/stateSource.ts
@@ -22,6 +22,8 @@
     readonly setCandidates: (candidates: readonly RelayCandidate[]) => void;
     /** Whether this instance is a relay by its rank in the zone. */
     readonly isRelay: () => boolean;
+    /** Whether this instance has the first rank in the zone. */
+    readonly isFirst: () => boolean;
     /** Returns the relays to subscribe to, the preferred one first. A relay itself subscribes to none. */
     readonly chooseRelays: (nowMs: number) => readonly string[];
     readonly noteNotice: (notice: RelayNotice, nowMs: number) => void;
@@ -67,6 +69,7 @@
             ranking = rank(candidates);
         },
         isRelay: isRelayByRank,
+        isFirst: () => ranking[0] === self,
         chooseRelays: nowMs => {
             excludeSilent(nowMs);
             const usable = ranking.filter(instance =>
--- a/packages/gateway/src/control/leaseKeeper.ts
+++ b/packages/gateway/src/control/leaseKeeper.ts
@@ -21,6 +21,8 @@
     readonly step: () => Promise<void>;
     readonly mayPlan: () => boolean;
     readonly fence: () => number;
+    /** The process that held the lease when its row was last read. */
+    readonly holderInstance: () => string | undefined;
     /** How far the store's clock was ahead of the local one at the last reading. */
     readonly storeClockAheadMs: () => number;
     /**
@@ -126,6 +128,7 @@
         },
         mayPlan: isHeld,
         fence: () => state.held?.fence ?? 0,
+        holderInstance: () => state.reading?.row?.holder.split("/")[0],
         storeClockAheadMs: () => state.reading === undefined ? 0 : state.reading.storeNowMs - state.reading.sentAtMs,
         writeUnder: async transaction => {
             const { held } = state;
--- a/packages/gateway/src/control/planningTask.ts
+++ b/packages/gateway/src/control/planningTask.ts
@@ -6,17 +6,20 @@
  * serving even if all gateway processes restart.
  */
 import { type AddressedEngineOrder, type GroupPlanner, makeGroupPlanner } from "@rattanquay/core";
-import { type EngineOrder, type UpstreamRecord } from "@rattanquay/schema";
+import { type EngineOrder, type ProbeReport, type UpstreamRecord } from "@rattanquay/schema";
 import { startTask } from "@rattanquay/task";
+import { type Cancel } from "@rattanquay/timer";
 import { type GatewayContext } from "../gatewayContext";
 import { type PassedOrder, type PlanningCandidacy } from "../peers";
-import { type FleetMonitorOptions, makeFleetMonitor } from "./fleetMonitor";
+import { type FleetMonitor, type FleetMonitorOptions, makeFleetMonitor } from "./fleetMonitor";
 import { makeGroupRows } from "./groupRows";
-import { makeLeaseKeeper } from "./leaseKeeper";
+import { type LeaseKeeper, makeLeaseKeeper } from "./leaseKeeper";
 import { makePlanTrigger } from "./planTrigger";
 
 export type Planning = {
     readonly isPlanner: () => boolean;
+    /** Takes what another zone's prober found. */
+    readonly receiveProbeReport: (report: ProbeReport) => void;
     /** Stops planning and releases the lease. */
     readonly release: () => Promise<void>;
     readonly close: () => void;
@@ -25,6 +28,10 @@
 export type PlanningOptions = FleetMonitorOptions & {
     readonly context: GatewayContext;
     readonly candidacy: () => PlanningCandidacy;
+    /** Whether this process probes its zone's engine instances for the planner. */
+    readonly isZoneProber: () => boolean;
+    /** Sends a report to another process. */
+    readonly tellInstance: (instance: string, report: ProbeReport) => void;
     /** Asks peers to send an order that this process got no answer to. */
     readonly passOrder: (upstream: UpstreamRecord, order: EngineOrder) => Promise<PassedOrder>;
 };
@@ -34,6 +41,7 @@
 const tickEveryMs = 60;
 /** Without the lease, only every n-th tick is processed. */
 const ticksPerStepWithoutLease = 4;
+const zoneProbeEveryMs = 240;
 const orderTimeoutMs = 500;
 /** Limit for each of the rows formed, rewritten and removed in one transaction, which holds at most 100 entries. */
 const maxRows = 32;
@@ -128,19 +136,41 @@
             mailbox.sendIfIdle({ kind: "tick" });
         }
     });
+    const cancelProbes = startZoneProbes(options, lease, fleet);
     return {
         isPlanner: lease.mayPlan,
+        receiveProbeReport: fleet.receiveReport,
         release: () => {
             cancel();
+            cancelProbes();
             return new Promise(resolve => mailbox.send({ kind: "release", done: resolve }));
         },
         close: () => {
             cancel();
+            cancelProbes();
             mailbox.close();
         },
     };
 }
 
+/** Probes the own zone's instances and reports to the lease holder, while another process holds the lease. */
+function startZoneProbes(
+    { context: { timer, settings }, isZoneProber, tellInstance }: PlanningOptions,
+    lease: LeaseKeeper,
+    fleet: FleetMonitor,
+): Cancel {
+    return timer.every(zoneProbeEveryMs, () => {
+        const holder = lease.holderInstance();
+        if (lease.mayPlan() || !isZoneProber() || holder === undefined || holder === settings.instance) {
+            return;
+        }
+        const report = fleet.probeOwnZone();
+        if (report !== undefined) {
+            tellInstance(holder, report);
+        }
+    });
+}
+
 /** Sends orders. A `leave` order that gets no answer is also tried through peers. */
 function makeOrderSender({ context, passOrder }: PlanningOptions, planner: GroupPlanner) {
     const { ports: { engines }, timer, log, metrics } = context;
--- a/packages/gateway/src/control/prober.ts
+++ b/packages/gateway/src/control/prober.ts
@@ -14,6 +14,8 @@
     /** Probes the instances that are due by their intervals, without waiting for their answers. */
     readonly probe: (records: readonly UpstreamRecord[], intervalsMs: ReadonlyMap<string, number>) => void;
     readonly unreachable: () => ReadonlySet<string>;
+    /** Whether so many instances are silent that this process is assumed to be cut off. */
+    readonly isCutOff: () => boolean;
     readonly reportOf: (id: string) => EngineReport | undefined;
     readonly reset: () => void;
 };
@@ -53,6 +55,9 @@
             log.info("engineAnswers", { upstream: record.id });
         }
     };
+    const silentIds = (): readonly string[] =>
+        [...probeStates].filter(([, { silences }]) => silences >= unreachableAfter).map(([id]) => id);
+    const isCutOff = (): boolean => silentIds().length > probeStates.size * maxSilentShare;
     return {
         probe: (records, intervalsMs) => {
             const listed = new Set(records.map(({ id }) => id));
@@ -67,12 +72,8 @@
                 }
             }
         },
-        unreachable: () => {
-            const silent = [...probeStates].filter(([, { silences }]) => silences >= unreachableAfter).map(([id]) =>
-                id
-            );
-            return new Set(silent.length > probeStates.size * maxSilentShare ? [] : silent);
-        },
+        unreachable: () => new Set(isCutOff() ? [] : silentIds()),
+        isCutOff,
         reportOf: id => probeStates.get(id)?.report,
         reset: () => probeStates.clear(),
     };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -60,11 +60,16 @@
         return serveRequest(request, response, dependencies);
     };
     const callerListener = await startCallerListener(serve, clusterState, context);
-    const peers = await startPeers(context, clusterStateWatch, registry, isPlanner);
+    const peers = await startPeers(context, clusterStateWatch, registry, {
+        isPlanner,
+        receiveProbeReport: report => components.planning?.receiveProbeReport(report),
+    });
     const planning = startPlanning({
         context,
         clusterState,
         candidacy: peers.candidacy,
+        isZoneProber: peers.isFirstOfZone,
+        tellInstance: peers.tellInstance,
         ownTraffic: () => requests > 0,
         progressAtMs: id => registry.get(id)?.load.progressAtMs() ?? -Infinity,
         passOrder: peers.passOrder,
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -1,4 +1,9 @@
-/** Discovers the other gateway processes: each registers itself in the store, and the settings name a few seeds. */
+/**
+ * Discovers the other gateway processes: each registers itself in the store, and the settings name a few seeds.
+ *
+ * After the first reads, a process asks a relay for the list, since reads of all rows by all processes would grow with
+ * the square of their number.
+ */
 import { GatewayInstance } from "@rattanquay/schema";
 import { sleep } from "@rattanquay/timer";
 import { instanceTable } from "../control";
@@ -10,14 +15,22 @@
     readonly peers: () => readonly GatewayInstance[];
     /** Addresses from the settings that may belong to peers, used while no row has been read. */
     readonly seeds: readonly string[];
+    /** This process and its peers, or an empty list before the first read. */
+    readonly all: () => readonly GatewayInstance[];
+    /** Sets where later lists come from; it resolves to undefined if they must be read from the store. */
+    readonly setSource: (ask: InstanceSource) => void;
     /** Removes the row of this process. */
     readonly leave: () => Promise<void>;
     readonly stop: () => void;
 };
 
+export type InstanceSource = () => Promise<readonly GatewayInstance[] | undefined>;
+
 const readEveryMs = 12_000;
 /** Processes often start together, and the first read comes before most of them have registered. */
 const secondReadAfterMs = 2_000;
+/** Reads from the store before relays are asked: relays must be known, and may have started at the same time. */
+const minStoreReads = 2;
 const retryMs = 700;
 
 export function startPeerDirectory(context: GatewayContext): PeerDirectory {
@@ -28,25 +41,29 @@
     let running = true;
     let registered = ownAddress === undefined;
     let peers: readonly GatewayInstance[] = [];
+    let source: InstanceSource = async () => undefined;
+    const own: GatewayInstance = { instance, availabilityZone, address: ownAddress ?? "", cores };
 
     const register = async (): Promise<void> => {
-        const row: GatewayInstance = { instance, availabilityZone, address: ownAddress ?? "", cores };
-        const outcome = await store.write({ expected: [], put: [{ ...at, text: JSON.stringify(row) }], remove: [] });
+        const outcome = await store.write({ expected: [], put: [{ ...at, text: JSON.stringify(own) }], remove: [] });
         registered = outcome.kind === "done";
     };
-    const read = async (): Promise<boolean> => {
+    const readStore: InstanceSource = async () => {
         const outcome = await store.read(instanceTable);
-        if (outcome.kind !== "done") {
+        return outcome.kind === "done"
+            ? outcome.value.flatMap(({ text }) => parseRow(GatewayInstance, text) ?? [])
+            : undefined;
+    };
+    const read = async (mustReadStore: boolean): Promise<boolean> => {
+        const found = (mustReadStore ? undefined : await source()) ?? await readStore();
+        if (found === undefined) {
             return false;
         }
-        const registeredPeers = outcome.value.flatMap(({ text }) => {
-            const peer = parseRow(GatewayInstance, text);
-            return peer !== undefined && peer.instance !== instance ? [peer] : [];
-        });
-        if (registeredPeers.length !== peers.length) {
-            log.info("peersRead", { peers: registeredPeers.length, before: peers.length });
+        const others = found.filter(peer => peer.instance !== instance);
+        if (others.length !== peers.length) {
+            log.info("peersRead", { peers: others.length, before: peers.length });
         }
-        peers = registeredPeers;
+        peers = others;
         return true;
     };
     const run = async (): Promise<void> => {
@@ -57,7 +74,7 @@
             if (!registered) {
                 await register();
             }
-            const isKnown = await read() && registered && peers.length > 0;
+            const isKnown = await read(completeReads < minStoreReads) && registered && peers.length > 0;
             completeReads += isKnown ? 1 : 0;
             const pauseMs = completeReads === 1 ? secondReadAfterMs : readEveryMs;
             await sleep(timer, isKnown ? pauseMs * (0.8 + 0.4 * random()) : retryMs * 2);
@@ -66,6 +83,10 @@
     run().catch(error => onFatalError("directory", error));
     return {
         peers: () => peers,
+        all: () => peers.length === 0 ? [] : [own, ...peers],
+        setSource: next => {
+            source = next;
+        },
         seeds: seeds.filter(address => address !== ownAddress),
         stop: () => {
             running = false;
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -9,6 +9,7 @@
     type GatewayAnswer,
     type GatewayMessage,
     type GatewayRequest,
+    type ProbeReport,
     type UpstreamRecord,
 } from "@rattanquay/schema";
 import { type ClusterStateWatch } from "../clusterState";
@@ -35,10 +36,20 @@
     readonly otherCount: number;
 };
 
+/** What peers need of this process's planner. */
+export type PlannerAccess = {
+    readonly isPlanner: () => boolean;
+    readonly receiveProbeReport: (report: ProbeReport) => void;
+};
+
 export type Peers = {
     /** The number of gateway processes, including this one. */
     readonly instances: () => number;
     readonly candidacy: () => PlanningCandidacy;
+    /** Whether this process has the first rank of its zone; false while no peer is known. */
+    readonly isFirstOfZone: () => boolean;
+    /** Sends a message to a process by its name; does nothing if the process is not known. */
+    readonly tellInstance: (instance: string, message: GatewayMessage) => void;
     readonly passOrder: (upstream: UpstreamRecord, order: EngineOrder) => Promise<PassedOrder>;
     /** Removes this process from the directory, so that peers no longer send requests to it. */
     readonly leave: () => Promise<void>;
@@ -55,7 +66,7 @@
     context: GatewayContext,
     watch: ClusterStateWatch,
     registry: UpstreamRegistry,
-    isPlanner: () => boolean,
+    planner: PlannerAccess,
 ): Promise<Peers> {
     const { clusterState, configuration, upstreams } = watch;
     const { settings: { listeners, availabilityZone, instance }, timer, random, log, ports: { engines } } = context;
@@ -65,6 +76,7 @@
         readonly [K in GatewayRequest["kind"]]: (ask: Extract<GatewayRequest, { kind: K }>) => Promise<GatewayAnswer>;
     } = {
         clusterState: async ask => answerStateRequest(ask, clusterState),
+        instances: async () => ({ kind: "instances", instances: [...directory.all()] }),
         passOrder: async ({ upstream, order }) => {
             const { result } = await engines.order(upstream, order, orderTimeoutMs);
             log.info("orderPassed", { upstream: upstream.id, order: order.kind, result });
@@ -78,7 +90,8 @@
     };
     const links = makeLinks(frameHandlers, context);
     const relay = startStateRelay(context, watch);
-    const follower = startStateFollower({ context, watch, directory, links, isPlanner });
+    const follower = startStateFollower({ context, watch, directory, links, isPlanner: planner.isPlanner });
+    directory.setSource(follower.requestInstances);
     const receivers: {
         readonly [K in GatewayMessage["kind"]]: (
             message: Extract<GatewayMessage, { kind: K }>,
@@ -91,6 +104,7 @@
             follower.noteSubscriber();
         },
         stateNotice: follower.receiveNotice,
+        probeReport: planner.receiveProbeReport,
     };
     const listener = listeners.peers === undefined
         ? undefined
@@ -121,6 +135,13 @@
     const cancelLoads = startGossipRounds(context, gossip, directory, links);
     return {
         instances: () => directory.peers().length + 1,
+        isFirstOfZone: () => directory.peers().length > 0 && follower.isFirst(),
+        tellInstance: (name, message) => {
+            const address = directory.peers().find(peer => peer.instance === name)?.address;
+            if (address !== undefined) {
+                links.tell([address], message);
+            }
+        },
         candidacy: () => {
             const zones = new Set([availabilityZone, ...directory.peers().map(peer => peer.availabilityZone)]);
             const preferredCount = zones.size * relaysPerZone;
--- a/packages/gateway/src/peers/stateFollower.ts
+++ b/packages/gateway/src/peers/stateFollower.ts
@@ -9,14 +9,18 @@
 import { type ClusterStateWatch } from "../clusterState";
 import { type GatewayContext } from "../gatewayContext";
 import { type Links } from "./links";
-import { type PeerDirectory } from "./peerDirectory";
+import { type InstanceSource, type PeerDirectory } from "./peerDirectory";
 import { applyStateAnswer, makeStateRequest } from "./stateAnswers";
 
 export type StateFollower = {
     readonly receiveNotice: (notice: StateNotice) => void;
     readonly noteSubscriber: () => void;
+    /** Requests the list of processes from a relay; undefined if there is none or it does not know. */
+    readonly requestInstances: InstanceSource;
     /** Whether this process is a relay of its zone. */
     readonly isRelay: () => boolean;
+    /** Whether this process has the first rank of its zone. */
+    readonly isFirst: () => boolean;
     readonly stop: () => void;
 };
 
@@ -33,7 +37,10 @@
 const subscribeEveryMs = 1_000;
 /** How long the preferred relay may take before the state is requested from the other one. */
 const otherRelayDelayMs = 250;
-const requestTimeoutMs = 500;
+/** Large configurations take most of this on the slowest links. */
+const requestTimeoutMs = 900;
+/** Changes that relays have announced but not delivered for this long are read from the store. */
+const maxLagMs = 800;
 
 export function startStateFollower(options: StateFollowerOptions): StateFollower {
     const { context: { settings, timer, log }, watch, directory, links } = options;
@@ -44,6 +51,8 @@
     let knownPeers: readonly GatewayInstance[] | undefined;
     let relays: readonly string[] = [];
     let readsStore = true;
+    /** The newest announced state that is not known here yet, and since when something has been missing. */
+    let missing: { readonly notice: StateNotice; readonly sinceMs: number } | undefined;
 
     const addressOf = (instance: string): string | undefined =>
         directory.peers().find(peer => peer.instance === instance)?.address;
@@ -63,21 +72,27 @@
             links.tell([address], { kind: "subscribe" });
         }
     };
+    const isBehind = ({ configVersion, newestChange }: StateNotice): boolean =>
+        configVersion > (clusterState.routes()?.version ?? 0) || newestChange > clusterState.asOf();
+    const noteAnnounced = (notice: StateNotice): void => {
+        const wasMissing = missing !== undefined && isBehind(missing.notice);
+        missing = { notice, sinceMs: wasMissing ? missing!.sinceMs : timer.nowMs() };
+    };
+    const isLagging = (nowMs: number): boolean =>
+        missing !== undefined && isBehind(missing.notice) && nowMs - missing.sinceMs > maxLagMs;
     const step = (): void => {
         const nowMs = timer.nowMs();
         updateCandidates();
         relays = source.chooseRelays(nowMs);
         relays.forEach(subscribe);
         const isIncomplete = clusterState.routes() === undefined || !clusterState.hasCompleteList();
-        const mustRead = source.mustReadStore(nowMs) || isIncomplete || options.isPlanner();
+        const mustRead = source.mustReadStore(nowMs) || isIncomplete || isLagging(nowMs) || options.isPlanner();
         if (mustRead !== readsStore) {
             log.info("stateSource", { readsStore: mustRead, relays });
             readsStore = mustRead;
             watch.setActive(mustRead);
         }
     };
-    const isBehind = ({ configVersion, newestChange }: StateNotice): boolean =>
-        configVersion > (clusterState.routes()?.version ?? 0) || newestChange > clusterState.asOf();
     const requestFrom = async (instance: string): Promise<void> => {
         const address = addressOf(instance);
         if (address === undefined || requesting.has(instance)) {
@@ -97,6 +112,7 @@
             if (!isBehind(notice)) {
                 return;
             }
+            noteAnnounced(notice);
             if (notice.instance === relays[0]) {
                 void requestFrom(notice.instance);
                 return;
@@ -107,7 +123,15 @@
                 }
             });
         },
+        requestInstances: async () => {
+            const address = relays[0] === undefined ? undefined : addressOf(relays[0]);
+            const answer = address === undefined
+                ? undefined
+                : await links.ask(address, { kind: "instances" }, requestTimeoutMs);
+            return answer?.kind === "instances" && answer.instances.length > 0 ? answer.instances : undefined;
+        },
         isRelay: source.isRelay,
+        isFirst: source.isFirst,
         noteSubscriber: () => source.noteSubscriber(timer.nowMs()),
         stop: cancelSteps,
     };
--- a/packages/lab/src/__tests__/gracefulStop.test.ts
+++ b/packages/lab/src/__tests__/gracefulStop.test.ts
@@ -39,7 +39,11 @@
         { length: streamCount },
         () => callChat({ port, messages, maxTokens: tokensPerStream, onToken }),
     );
-    await waitUntil("all streams to have begun", 10_000, () => startedStreams === streamCount);
+    const ended: string[] = [];
+    calls.forEach(call => void call.then(({ status, errorCode }) => ended.push(`${status} ${errorCode ?? ""}`)));
+    await waitUntil("all streams to have begun", 10_000, () => startedStreams === streamCount).catch(error => {
+        throw new Error(`${(error as Error).message}; ${startedStreams} began, already ended: ${ended.join(", ")}`);
+    });
     return calls;
 };
 
--- a/packages/schema/src/gatewayPeer.ts
+++ b/packages/schema/src/gatewayPeer.ts
@@ -5,9 +5,22 @@
 const RevisionedRecord = z.object({ value: UpstreamRecord, revision: z.number() });
 const RemovedId = z.object({ id: z.string(), revision: z.number() });
 
+/** A gateway process, as registered in the store by itself. */
+export const GatewayInstance = z.object({
+    instance: z.string(),
+    availabilityZone: z.string(),
+    /** `HOST:PORT` of its listener for peers. */
+    address: z.string(),
+    /** Processor capacity, as a number of cores. */
+    cores: z.number().optional(),
+});
+export type GatewayInstance = z.infer<typeof GatewayInstance>;
+
 export const GatewayRequest = z.discriminatedUnion("kind", [
     /** Requests all cluster state newer than the sender's. */
     z.object({ kind: z.literal("clusterState"), configVersion: z.number(), asOf: z.number() }),
+    /** Requests the list of gateway processes. */
+    z.object({ kind: z.literal("instances") }),
     /** Requests that an order be forwarded to an instance that the sender cannot reach. */
     z.object({ kind: z.literal("passOrder"), upstream: UpstreamRecord, order: EngineOrder }),
 ]);
@@ -53,8 +66,24 @@
 });
 export type StateNotice = z.infer<typeof StateNotice>;
 
+/** What a zone's prober found, for the holder of the planning lease. */
+export const ProbeReport = z.object({
+    kind: z.literal("probeReport"),
+    availabilityZone: z.string(),
+    /** Instances that did not answer the last probes. */
+    unreachable: z.array(z.string()),
+    /** Requests, running and waiting, at the heads of open groups. */
+    loads: z.array(UpstreamLoad),
+});
+export type ProbeReport = z.infer<typeof ProbeReport>;
+
 /** A message without an answer. */
-export const GatewayMessage = z.discriminatedUnion("kind", [GatewayLoads, StateSubscription, StateNotice]);
+export const GatewayMessage = z.discriminatedUnion("kind", [
+    GatewayLoads,
+    StateSubscription,
+    StateNotice,
+    ProbeReport,
+]);
 export type GatewayMessage = z.infer<typeof GatewayMessage>;
 
 export const GatewayAnswer = z.discriminatedUnion("kind", [
@@ -67,6 +96,8 @@
         removals: z.array(RemovedId),
         asOf: z.number(),
     }),
+    /** All registered processes, including the sender; empty if it has not read them yet. */
+    z.object({ kind: z.literal("instances"), instances: z.array(GatewayInstance) }),
     z.object({ kind: z.literal("orderPassed"), result: z.enum(["accepted", "rejected", "unanswered"]) }),
 ]);
 export type GatewayAnswer = z.infer<typeof GatewayAnswer>;
@@ -78,14 +109,3 @@
     z.object({ direction: z.literal("tell"), message: GatewayMessage }),
 ]);
 export type GatewayFrame = z.infer<typeof GatewayFrame>;
-
-/** A gateway process, as registered in the store by itself. */
-export const GatewayInstance = z.object({
-    instance: z.string(),
-    availabilityZone: z.string(),
-    /** `HOST:PORT` of its listener for peers. */
-    address: z.string(),
-    /** Processor capacity, as a number of cores. */
-    cores: z.number().optional(),
-});
-export type GatewayInstance = z.infer<typeof GatewayInstance>;
