Reset the connections of calls that are given up, and share followers between relays

Causes: - From the incident of further/: a booking ended with 504 at its deadline behind a cut zone, and reached its upstream 5.3 s later, when the cut healed, because the connection was closed and not reset. Calls that are given up now reset theirs. All followers of a zone preferred one relay, whose link takes 0.8 s for as many large configurations, longer than a request was given; relays that announced but did not deliver still counted as confirming.

--- a/packages/core/src/stateSource/stateSource.ts
+++ b/packages/core/src/stateSource/stateSource.ts
@@ -75,7 +75,10 @@
             const usable = ranking.filter(instance =>
                 instance !== self && nowMs >= (excludedUntilMs.get(instance) ?? -Infinity)
             );
-            const next = isRelayByRank() ? [] : usable.slice(0, relaysPerZone);
+            const first = usable.slice(0, relaysPerZone);
+            // Half of the instances prefer the second relay: a large configuration takes all of a relay's bandwidth.
+            const preferred = ranking.indexOf(self) % relaysPerZone === 0 ? first : first.reverse();
+            const next = isRelayByRank() ? [] : preferred;
             next.filter(instance => !chosen.includes(instance)).forEach(instance =>
                 states.set(instance, { heardAtMs: nowMs, currentAtMs: -Infinity })
             );
--- a/packages/gateway/src/clusterState/watchClusterState.ts
+++ b/packages/gateway/src/clusterState/watchClusterState.ts
@@ -20,12 +20,6 @@
  */
 const plannerPollMs = 100;
 const defaultPollMs = 600;
-/**
- * Until relays have taken over, all processes that start together poll the store; they need not notice changes as fast
- * for the first half of the time after which their bounds hold.
- */
-const startPollMs = 1_500;
-const startShare = 0.5;
 /**
  * Upstreams that are alive register again within about two seconds after a store outage in which their entries expired.
  * Removals around an outage are delayed by this time, so that these upstreams stay in use.
@@ -33,9 +27,7 @@
 const removalGraceMs = 2_000;
 
 export function watchClusterState(context: GatewayContext, isPlanner: () => boolean): ClusterStateWatch {
-    const { log, metrics, ports, settings, timer } = context;
-    const startUntilMs = timer.nowMs() + settings.bounds.contactMs * startShare;
-    const defaultMinPollMs = (): number => timer.nowMs() < startUntilMs ? startPollMs : defaultPollMs;
+    const { log, metrics, ports, timer } = context;
     const clusterState = makeClusterState(log, metrics);
     const { configuration: configSource, upstreams: upstreamSource } = ports.sources;
 
@@ -80,7 +72,7 @@
     };
     const upstreams = watchTable({
         table: upstreamSource.table,
-        minPollMs: () => isPlanner() ? plannerPollMs : defaultMinPollMs(),
+        minPollMs: () => isPlanner() ? plannerPollMs : defaultPollMs,
         knownRevision: clusterState.asOf,
         reader: {
             onSnapshot: (rows, asOf) => {
--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -69,8 +69,11 @@
         finish({ kind: mayHaveBeenSent ? "cut" : "unreached", reason: abortReason ?? reason });
     };
     const abort = (reason: string): void => {
+        if (ended) {
+            return;
+        }
         abortReason = reason;
-        client.destroy();
+        closeForGood(client);
         fail(reason);
     };
     const cancelConnect = timer.after(connectTimeoutMs, () => {
@@ -84,7 +87,7 @@
     client.on("response", answer => {
         const head = options.wire.readHead(answer);
         if (!answersRequest(head, options.requestId)) {
-            client.destroy();
+            closeForGood(client);
             fail("the answer belongs to another request");
             return;
         }
@@ -127,6 +130,19 @@
     });
 }
 
+/**
+ * Resets the connection of a request that is given up. After a plain close, bytes that a partition holds up would still
+ * be delivered when it heals, and the upstream would run the request seconds after the caller got its final answer.
+ */
+function closeForGood(client: ClientRequest): void {
+    const { socket } = client;
+    if (socket === null || socket === undefined || socket.connecting) {
+        client.destroy();
+        return;
+    }
+    socket.resetAndDestroy();
+}
+
 function whenConnected(socket: Socket, action: () => void): void {
     if (socket.connecting) {
         socket.once("connect", action);
