Let relays notice within a second that the store is silent, and compare fewer of the heads of a small zone

Two relays do not protect against a cut that parts both.

Change: a relay with subscribers polls the list at least every 500 ms, and says that it is not current when the last answer is older than 850 ms; notices come every 300 ms, and one that is not current ends the confirmation at once.

The sample now holds at most a third of the zone's candidates; tables of loads go to other zones somewhat more often (two messages a round instead of one and a half).

Tests: relays.test "both relays are cut off from the store without notice" and stateSource "the store is read at once when neither relay is current", placementByZone "in a zone with few candidates ...".

--- a/packages/core/src/serving/__tests__/placementByZone.test.ts
+++ b/packages/core/src/serving/__tests__/placementByZone.test.ts
@@ -58,4 +58,22 @@
     assert.ok(remoteShare(loads, "predictedFirstEvent") <= remoteShare(loads, "uniformSample") / 2);
 });
 
+test("in a zone with few candidates, instances do not all compare the same ones", () => {
+    const random = makeRandom(5);
+    const chosen = new Set<string>();
+    for (let request = 0; request < 200; request++) {
+        const candidates = Array.from({ length: 9 }, (unused, index): PlacementCandidate => ({
+            id: `h${index}`,
+            slots: 10,
+            load: index,
+            isLocal: index < 3,
+            isConnected: true,
+            isStalled: false,
+        }));
+        chosen.add(chooseUpstream({ candidates, predict: ({ load }) => load, random })!.id);
+    }
+    // The least loaded of the zone's three is known to all; it must not get every request.
+    assert.equal([...chosen].sort().slice(0, 3), ["h0", "h1", "h2"]);
+});
+
 test.run();
--- a/packages/core/src/serving/placement.ts
+++ b/packages/core/src/serving/placement.ts
@@ -38,7 +38,9 @@
 const connectionCostMs = 6;
 /** Number of candidates that the default policy compares, and how many of them may be of the own zone. */
 const sampleSize = 4;
-const localSampleSize = 3;
+const maxLocalSampleSize = 3;
+/** The sample holds at most this share of the zone's candidates: instances that compare the same few choose alike. */
+const maxLocalShare = 1 / 3;
 
 type Policy = (question: PlacementInput) => PlacementCandidate | undefined;
 
@@ -88,12 +90,15 @@
 }
 
 /**
- * Mostly candidates of the own zone: traffic between zones is expensive, and an instance knows most about the load of
- * upstreams that its own zone uses. One other shows whether another zone has room that this one lacks.
+ * Mostly candidates of the own zone if it has many: traffic between zones is expensive, and an instance knows most about the load of
+ * upstreams that its own zone uses. The others show whether another zone has room that this one lacks.
  */
 function sampleByZone(candidates: readonly PlacementCandidate[], random: () => number): readonly PlacementCandidate[] {
-    const local = sample(candidates.filter(({ isLocal }) => isLocal), localSampleSize, random);
-    return [...local, ...sample(candidates.filter(({ isLocal }) => !isLocal), sampleSize - local.length, random)];
+    const local = candidates.filter(({ isLocal }) => isLocal);
+    const remote = candidates.filter(({ isLocal }) => !isLocal);
+    const preferredCount = Math.max(1, Math.min(maxLocalSampleSize, Math.floor(local.length * maxLocalShare)));
+    const localCount = Math.max(preferredCount, sampleSize - remote.length);
+    return [...sample(local, localCount, random), ...sample(remote, sampleSize - localCount, random)];
 }
 
 /** Takes a random sample of the candidates without replacement. */
--- a/packages/core/src/stateSource/__tests__/stateSource.test.ts
+++ b/packages/core/src/stateSource/__tests__/stateSource.test.ts
@@ -97,6 +97,12 @@
     assert.is(readsStore.at(-1), true);
 });
 
+test("the store is read at once when neither relay is current any longer", () => {
+    const source = makeInstance("e4");
+    play(source, 0, 6_000, always);
+    assert.equal(play(source, 6_000, 6_400, () => ({ isCurrent: false })), [true, true]);
+});
+
 test("with fewer than two relays beside it an instance reads the store itself", () => {
     for (const size of [1, 2]) {
         const source = makeInstance("e1", zone.slice(0, size));
--- a/packages/core/src/stateSource/stateSource.ts
+++ b/packages/core/src/stateSource/stateSource.ts
@@ -92,7 +92,7 @@
             }
             if (state !== undefined) {
                 state.heardAtMs = nowMs;
-                state.currentAtMs = isCurrent && !isLeaving ? nowMs : state.currentAtMs;
+                state.currentAtMs = isCurrent && !isLeaving ? nowMs : -Infinity;
             }
         },
         noteSubscriber: nowMs => {
--- a/packages/gateway/src/clusterState/tableWatch.ts
+++ b/packages/gateway/src/clusterState/tableWatch.ts
@@ -23,6 +23,8 @@
     readonly isUnavailable: () => boolean;
     /** Whether the watch is active and the store answered its last call. */
     readonly isCurrent: () => boolean;
+    /** Time since the store's last answer; infinite before the first one since the watch was resumed. */
+    readonly answerAgeMs: () => number;
     /** When the store last became available again after an outage. */
     readonly returnedAtMs: () => number | undefined;
 };
@@ -36,12 +38,14 @@
     readonly reader: TableReader;
     /** Minimum interval between the starts of two polls. */
     readonly minPollMs: () => number;
+    /** How long a poll waits for changes at most. */
+    readonly maxWaitMs: () => number;
     /** The revision up to which the changes are known from elsewhere; 0 if unknown. */
     readonly knownRevision: () => number;
 };
 
 export function watchTable(options: WatchOptions, context: GatewayContext): TableWatch {
-    const { timer, log, ports, settings, random } = context;
+    const { timer, log, ports, random } = context;
     const { table, reader } = options;
     let running = true;
     let returnedAtMs: number | undefined;
@@ -50,14 +54,14 @@
     let failures = 0;
     let active = true;
     let resume = (): void => undefined;
-    /** Whether the store has answered since the watch was last resumed. */
-    let hasAnswered = false;
+    /** The last answer since the watch was resumed. */
+    let answeredAtMs = -Infinity;
 
     const noteOutcome = (outcome: StoreOutcome<unknown>): void => {
         const nowMs = timer.nowMs();
         if (outcome.kind === "done" || outcome.kind === "historyLost") {
             failures = 0;
-            hasAnswered = true;
+            answeredAtMs = nowMs;
             if (unavailableSinceMs !== undefined) {
                 log.info("storeRegained", { table, awayMs: Math.round(nowMs - unavailableSinceMs) });
                 returnedAtMs = nowMs;
@@ -81,7 +85,7 @@
     };
     const follow = async (from: number): Promise<void> => {
         // A long poll would delay the notice that the store is available, after an outage or a suspension.
-        const waitMs = hasAnswered && failures === 0 ? settings.bounds.contactMs : 0;
+        const waitMs = answeredAtMs > -Infinity && failures === 0 ? options.maxWaitMs() : 0;
         const outcome = await ports.store.follow(table, from, waitMs);
         noteOutcome(outcome);
         if (outcome.kind === "done") {
@@ -121,14 +125,15 @@
         },
         setActive: next => {
             if (next && !active) {
-                hasAnswered = false;
+                answeredAtMs = -Infinity;
                 active = true;
                 resume();
             }
             active = next;
         },
         isUnavailable: () => active && unavailableSinceMs !== undefined,
-        isCurrent: () => active && hasAnswered && failures === 0,
+        isCurrent: () => active && answeredAtMs > -Infinity && failures === 0,
+        answerAgeMs: () => timer.nowMs() - answeredAtMs,
         returnedAtMs: () => returnedAtMs,
     };
 }
--- a/packages/gateway/src/clusterState/watchClusterState.ts
+++ b/packages/gateway/src/clusterState/watchClusterState.ts
@@ -9,6 +9,10 @@
     readonly clusterState: ClusterState;
     readonly configuration: TableWatch;
     readonly upstreams: TableWatch;
+    /** Whether the local state is confirmed by a recent answer of the store. */
+    readonly isCurrent: () => boolean;
+    /** Sets whether others rely on `isCurrent`, which must then notice within a second that the store is silent. */
+    readonly setRelaying: (isRelaying: boolean) => void;
     /** Suspends or resumes both watches. */
     readonly setActive: (isActive: boolean) => void;
     readonly stop: () => void;
@@ -20,6 +24,12 @@
  */
 const plannerPollMs = 100;
 const defaultPollMs = 600;
+/**
+ * A connection to the store can go silent without an error. A relay polls the list this often even without changes, and
+ * no longer counts as current when an answer is overdue.
+ */
+const relayWaitMs = 500;
+const maxAnswerAgeMs = 850;
 /**
  * Upstreams that are alive register again within about two seconds after a store outage in which their entries expired.
  * Removals around an outage are delayed by this time, so that these upstreams stay in use.
@@ -27,8 +37,9 @@
 const removalGraceMs = 2_000;
 
 export function watchClusterState(context: GatewayContext, isPlanner: () => boolean): ClusterStateWatch {
-    const { log, metrics, ports, timer } = context;
+    const { log, metrics, ports, settings, timer } = context;
     const clusterState = makeClusterState(log, metrics);
+    let isRelaying = false;
     const { configuration: configSource, upstreams: upstreamSource } = ports.sources;
 
     const applyConfigurations = (rows: readonly StoredRow[]): void => {
@@ -42,6 +53,7 @@
     const configuration = watchTable({
         table: configSource.table,
         minPollMs: () => 0,
+        maxWaitMs: () => settings.bounds.contactMs,
         knownRevision: () => 0,
         reader: { onSnapshot: applyConfigurations, onChanges: ({ rows }) => applyConfigurations(rows) },
     }, context);
@@ -73,6 +85,7 @@
     const upstreams = watchTable({
         table: upstreamSource.table,
         minPollMs: () => isPlanner() ? plannerPollMs : defaultPollMs,
+        maxWaitMs: () => isRelaying ? relayWaitMs : settings.bounds.contactMs,
         knownRevision: clusterState.asOf,
         reader: {
             onSnapshot: (rows, asOf) => {
@@ -98,6 +111,10 @@
         clusterState,
         configuration,
         upstreams,
+        isCurrent: () => configuration.isCurrent() && upstreams.isCurrent() && upstreams.answerAgeMs() < maxAnswerAgeMs,
+        setRelaying: next => {
+            isRelaying = next;
+        },
         setActive: isActive => {
             configuration.setActive(isActive);
             upstreams.setActive(isActive);
--- a/packages/gateway/src/peers/gossipRounds.ts
+++ b/packages/gateway/src/peers/gossipRounds.ts
@@ -1,7 +1,7 @@
 /**
  * Sends load information to peers in rounds: to all of the own zone in turn, and now and then to one of another zone.
  *
- * Traffic between zones is expensive, so all processes of a zone together send about one message to each other zone in
+ * Traffic between zones is expensive, so all processes of a zone together send two messages to each other zone in
  * each round, whatever their number.
  */
 import { type Cancel } from "@rattanquay/timer";
@@ -15,7 +15,7 @@
 /** Peers of the same zone that get loads in each round; if there are more, each gets them less often. */
 const sameZonePeersPerRound = 8;
 /** Messages to each other zone in each round, from all processes of this zone together. */
-const messagesPerOtherZone = 1.5;
+const messagesPerOtherZone = 2;
 
 export function startGossipRounds(
     { settings: { availabilityZone }, timer, random }: GatewayContext,
--- a/packages/gateway/src/peers/stateRelay.ts
+++ b/packages/gateway/src/peers/stateRelay.ts
@@ -15,7 +15,7 @@
     readonly stop: () => void;
 };
 
-const noticeEveryMs = 400;
+const noticeEveryMs = 300;
 /** Changes within this time share one notice. */
 const changeDelayMs = 15;
 /** Subscribers renew their subscription several times within this time. */
@@ -23,8 +23,9 @@
 
 export function startStateRelay(
     { settings: { instance }, timer, log }: GatewayContext,
-    { clusterState, configuration, upstreams }: ClusterStateWatch,
+    watch: ClusterStateWatch,
 ): StateRelay {
+    const { clusterState } = watch;
     const subscribedAtMs = new Map<FrameLink, number>();
     let cancelPending: Cancel | undefined;
     let hasLeft = false;
@@ -33,7 +34,7 @@
         instance,
         configVersion: clusterState.routes()?.version ?? 0,
         newestChange: clusterState.newestChange(),
-        isCurrent: configuration.isCurrent() && upstreams.isCurrent(),
+        isCurrent: watch.isCurrent(),
         isLeaving: hasLeft,
     });
     const removeEnded = (): void => {
@@ -47,6 +48,7 @@
         cancelPending?.();
         cancelPending = undefined;
         removeEnded();
+        watch.setRelaying(subscribedAtMs.size > 0);
         const notice = encodeMessage(makeNotice());
         subscribedAtMs.forEach((unused, link) => link.tell(notice));
     };
@@ -65,6 +67,7 @@
                 return;
             }
             const isNew = !subscribedAtMs.has(link);
+            watch.setRelaying(true);
             subscribedAtMs.set(link, timer.nowMs());
             if (isNew) {
                 log.info("stateSubscribed", { subscribers: subscribedAtMs.size });
