--- a/packages/gateway/src/control/leaseKeeper.ts
+++ b/packages/gateway/src/control/leaseKeeper.ts
@@ -42,7 +42,10 @@
 const otherReadsPerSecond = 0.5;
 /** Time that candidates that are not preferred leave to the preferred ones; shorter than a term. */
 const otherTakeDelayMs = 1_000;
-/** Time that a candidate with one core leaves to larger ones, in inverse proportion to its cores, and its maximum. */
+/**
+ * Time that a candidate with one core leaves to larger ones at the first election, in inverse proportion to its cores,
+ * and its maximum.
+ */
 const oneCoreTakeDelayMs = 120;
 const maxCoreTakeDelayMs = 400;
 const msPerSecond = 1_000;
@@ -56,6 +59,8 @@
     let state: PlanningLeaseState = initialPlanningLease;
     const options = (): LeaseOptions => {
         const { isPreferred, preferredCount, otherCount } = candidacy();
+        // Without a row nobody has planned yet, and the processes may not know each other.
+        const isFirstElection = state.reading?.row === undefined;
         const sharedReadMs = isPreferred
             ? preferredCount / preferredReadsPerSecond * msPerSecond
             : otherCount / otherReadsPerSecond * msPerSecond;
@@ -64,7 +69,7 @@
             termMs,
             readEveryMs: Math.max(termMs / 4, sharedReadMs) * (0.5 + random()),
             takeDelayMs: (isPreferred ? 0 : otherTakeDelayMs)
-                + Math.min(maxCoreTakeDelayMs, oneCoreTakeDelayMs / settings.cores),
+                + (isFirstElection ? Math.min(maxCoreTakeDelayMs, oneCoreTakeDelayMs / settings.cores) : 0),
         };
     };
     const isHeld = (): boolean => mayPlan(state, { termMs }, timer.nowMs());
