Log the segments of a request's prompt, and for how long a failed send's answer had been arriving

The logs could not tell whether requests that end replicas have something in common, since they named neither the segments of the prompt nor how far the answer had come. Both now stand in sendFell, and the segments in requestEnded. No decision changes.

--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -34,6 +34,8 @@
     /** Time from arrival to the first byte of the answer, and the prediction for the first attempt. */
     readonly firstByteMs?: number;
     readonly predictedMs?: number;
+    /** The segments of the prompt, which tell requests that fail for a common cause. */
+    readonly segments?: readonly string[];
 };
 
 /** The final answer is sent this long before the caller's deadline. */
@@ -105,7 +107,8 @@
         this.currentAttempt?.abort("the request has ended");
         this.currentAttempt = undefined;
         const { triedUpstreams, firstByteMs, predictedMs } = this;
-        this.onEnd({ ending, code, status, upstreams: [...triedUpstreams], firstByteMs, predictedMs });
+        const segments = segmentsForLog(this.admitted);
+        this.onEnd({ ending, code, status, upstreams: [...triedUpstreams], firstByteMs, predictedMs, segments });
     }
 
     private refuseWith(refusal: Refusal): void {
@@ -177,7 +180,7 @@
         const reader = relay.begin();
         const { upstream } = placement;
         let hasHead = false;
-        let hasBytes = false;
+        let firstBytesAtMs: number | undefined;
         let lastBytesAtMs = timer.nowMs();
         let isPaused = false;
         const { response } = admitted;
@@ -206,8 +209,8 @@
             },
             onBytes: bytes => {
                 lastBytesAtMs = timer.nowMs();
-                if (!hasBytes) {
-                    hasBytes = true;
+                if (firstBytesAtMs === undefined) {
+                    firstBytesAtMs = lastBytesAtMs;
                     placement.noteFirstEvent(lastBytesAtMs - attempt.startedAtMs);
                 }
                 if (!this.hasEnded) {
@@ -219,7 +222,8 @@
                 this.cancelStallWatch();
                 if (!this.hasEnded) {
                     this.currentAttempt = undefined;
-                    this.handleResult(reader.onEnd(end), placement);
+                    const answeringMs = firstBytesAtMs === undefined ? undefined : timer.nowMs() - firstBytesAtMs;
+                    this.handleResult(reader.onEnd(end), placement, answeringMs);
                 }
             },
         };
@@ -285,7 +289,8 @@
         return mayRetryRequest(countAttempt(this.sends, failure), { isRepeatable, maxAttempts });
     }
 
-    private handleResult(result: AttemptResult, placement: Placement): void {
+    /** `answeringMs` is for how long the answer had been arriving. */
+    private handleResult(result: AttemptResult, placement: Placement, answeringMs: number | undefined): void {
         const { metrics } = this.dependencies.context;
         const { kind } = this.admitted.route;
         metrics.attempts.inc({ kind, result: result.kind === "short" ? result.failure : result.kind });
@@ -295,7 +300,7 @@
         }
         const failure = result.kind === "failed" ? "failed" : result.failure;
         this.errorAnswer = result.kind === "failed" ? result.answer : this.errorAnswer;
-        this.logFailedAttempt(result, failure, placement);
+        this.logFailedAttempt(result, failure, placement, answeringMs);
         const canRetry = this.canRetryAfter(failure) && this.timeLeftMs() >= minAttemptMs;
         this.sends = countAttempt(this.sends, failure);
         if (canRetry && this.isWithinRetryBudget()) {
@@ -323,6 +328,7 @@
         result: Exclude<AttemptResult, { kind: "answered" }>,
         failure: AttemptFailure,
         placement: Placement,
+        answeringMs: number | undefined,
     ): void {
         this.dependencies.context.log.info("sendFell", {
             requestId: this.admitted.caller.requestId,
@@ -331,9 +337,18 @@
             reason: result.kind === "failed" ? `status ${result.answer.status}` : result.reason,
             blames: result.kind === "short" ? result.blames : undefined,
             lastEventId: this.relay.lastEventId(),
+            answeringMs: answeringMs === undefined ? undefined : Math.round(answeringMs),
+            segments: segmentsForLog(this.admitted),
             predictedMs: Math.round(placement.predictedMs),
             load: Math.round(placement.upstream.load.estimate(this.dependencies.context.timer.nowMs())),
             candidates: placement.candidates,
         });
     }
 }
+
+/** Undefined for requests without a prompt, so that their log lines have no empty list. */
+function segmentsForLog({ caller: { promptSegments } }: AdmittedRequest): readonly string[] | undefined {
+    return promptSegments.length === 0 ? undefined : promptSegments.slice(0, maxLoggedSegments);
+}
+
+const maxLoggedSegments = 8;
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -74,6 +74,8 @@
     readonly expectedAnswerTokens: number | undefined;
     /** The last event of a stream that the caller has already received. */
     readonly lastEventId: number | undefined;
+    /** Ids of the segments of the prompt, in order. The last one belongs to this request or to its session alone. */
+    readonly promptSegments: readonly string[];
 };
 
 /** What the gateway adds to a request that it forwards to an upstream. */
