--- a/packages/lab/src/usersPlatform/upstreamStandIn.ts
+++ b/packages/lab/src/usersPlatform/upstreamStandIn.ts
@@ -1,7 +1,7 @@
 /** A stand-in for an upstream on the users' platform: it records requests and answers with a configurable handler. */
-import { systemTimer } from "@rattanquay/timer";
+import { sleep, systemTimer } from "@rattanquay/timer";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
-import { type AddressInfo } from "node:net";
+import { type AddressInfo, type Socket } from "node:net";
 
 /** One request that reached the upstream. */
 export type ReceivedRequest = {
@@ -23,6 +23,10 @@
     readonly answerWith: (handler: AnswerHandler) => void;
     /** The entry with which the upstream registers itself in the store, with `extra` fields laid over it. */
     readonly entry: (extra?: Readonly<Record<string, unknown>>) => Readonly<Record<string, unknown>>;
+    /** Resets all connections and refuses new ones for `downMs`, then starts again as a new incarnation. */
+    readonly crash: (downMs: number) => Promise<void>;
+    /** How often it has crashed. */
+    readonly crashes: () => number;
     readonly close: () => void;
 };
 
@@ -54,7 +58,11 @@
 export async function startUpstreamStandIn(id: string, service: string): Promise<UpstreamStandIn> {
     const arrivals: ReceivedRequest[] = [];
     let answerHandler = validAnswer;
-    const startedAtMs = systemTimer.wallClock().getTime();
+    let startedAtMs = systemTimer.wallClock().getTime();
+    const sockets = new Set<Socket>();
+    let crashes = 0;
+    let isDown = false;
+    let isClosed = false;
     const server = createServer((request, response) => {
         const chunks: Buffer[] = [];
         request.on("data", (chunk: Buffer) => chunks.push(chunk));
@@ -76,8 +84,14 @@
             answerHandler(request, response, received);
         });
     });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    server.on("connection", socket => {
+        sockets.add(socket);
+        socket.on("close", () => sockets.delete(socket));
+    });
+    const listen = (port: number): Promise<void> => new Promise(resolve => server.listen(port, "127.0.0.1", resolve));
+    await listen(0);
+    const { port } = server.address() as AddressInfo;
+    const address = `127.0.0.1:${port}`;
     return {
         id,
         address,
@@ -97,7 +111,24 @@
             born: startedAtMs,
             ...extra,
         }),
+        crash: async downMs => {
+            if (isDown) {
+                return;
+            }
+            isDown = true;
+            crashes++;
+            server.close();
+            sockets.forEach(socket => socket.resetAndDestroy());
+            await sleep(systemTimer, downMs);
+            if (!isClosed) {
+                await listen(port);
+                startedAtMs = systemTimer.wallClock().getTime();
+                isDown = false;
+            }
+        },
+        crashes: () => crashes,
         close: () => {
+            isClosed = true;
             server.close();
             server.closeAllConnections();
         },
