Avoid upstreams that refuse connections

Callers saw 503 notRun after some milliseconds while other heads were free. Cause: a refused connection left no mark on the upstream, so a head that was gone had no load and was preferred until its entry went; the four attempts of a request could all go to such heads.

A refused connection now counts as unreachable like one that is not established in time.

--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -66,6 +66,10 @@
         events.onEnd(end);
     };
     const fail = (reason: string): void => {
+        if (!mayHaveBeenSent && abortReason === undefined) {
+            // A refused connection leaves the upstream without load, and it would be preferred for that.
+            load.noteUnreachable(timer.nowMs());
+        }
         finish({ kind: mayHaveBeenSent ? "cut" : "unreached", reason: abortReason ?? reason });
     };
     const abort = (reason: string): void => {
