--- a/packages/cli/src/__tests__/explain.test.ts
+++ b/packages/cli/src/__tests__/explain.test.ts
@@ -79,6 +79,23 @@
     assert.equal(first!.around.map(({ event, fields }) => [event, fields["upstream"]]), [["engineSilent", "i-1"]]);
 });
 
+test("a request that was held back comes with its quarantine and the crashes that it rests on, from any process", () => {
+    const quarantine = "drafts/large:5c1e";
+    const text = [
+        line(3, "edge-2", "crashSuspected", { upstream: "i-1", crash: "i-1@7", segments: ["5c1e"] }),
+        line(4, "edge-3", "crashSuspected", { upstream: "i-2", crash: "i-2@8", segments: ["5c1e"] }),
+        line(4, "edge-3", "crashSuspected", { upstream: "i-3", crash: "i-3@9", segments: ["77aa"] }),
+        line(5, "edge-1", "quarantineImposed", { quarantine, crashes: ["i-1@7", "i-2@8"] }),
+        line(5, "edge-1", "quarantineImposed", { quarantine: "drafts/large:77aa" }),
+        line(6, "edge-1", "quarantineApplied", { requestId: "r7", quarantine, crashes: ["i-1@7", "i-2@8"] }),
+    ].join("\n");
+    const [applied] = requestTimeline("r7", parseLogLines(text));
+    assert.equal(
+        applied!.believed.map(({ event, fields }) => [event, fields["upstream"] ?? fields["quarantine"]]),
+        [["crashSuspected", "i-1"], ["crashSuspected", "i-2"], ["quarantineImposed", quarantine]],
+    );
+});
+
 test("the timeline of a request without log lines is empty", () => {
     assert.equal(requestTimeline("r3", parseLogLines(logs.join("\n"))), []);
 });
--- a/packages/cli/src/explain/timeline.ts
+++ b/packages/cli/src/explain/timeline.ts
@@ -7,7 +7,10 @@
 /** A log line of the request with its context. */
 export type TimelineEntry = {
     readonly line: LogLine;
-    /** The latest line of each kind of state up to this line, from the same process or about the whole fleet. */
+    /**
+     * The latest line of each kind of state up to this line, from the same process or about the whole fleet; for a request
+     * that was held back, also the crashes that its quarantine rests on, from any process.
+     */
     readonly believed: readonly LogLine[];
     /** Planner lines of any process about the upstreams in the line, within a window around it. */
     readonly around: readonly LogLine[];
@@ -23,6 +26,10 @@
 ]);
 /** Events that report what a process knows of an upstream. */
 const upstreamStateEvents: ReadonlySet<string> = new Set(["upstreamSeen", "upstreamGone"]);
+/** Events that report what a process knows of a quarantine. */
+const quarantineEvents: ReadonlySet<string> = new Set(["quarantineImposed", "quarantineLifted"]);
+/** Events that a quarantine rests on; any process may have seen them. */
+const crashEvents: ReadonlySet<string> = new Set(["crashSuspected", "crashRevoked"]);
 /** Events of the planner about upstreams; it may run in any process. */
 const plannerEvents: ReadonlySet<string> = new Set(["engineSilent", "engineAnswers", "orderSent", "groupFormed"]);
 /** Events about the whole fleet. */
@@ -62,16 +69,26 @@
     if (fleetEvents.has(event)) {
         return event;
     }
+    if (crashEvents.has(event) && isListed(line.fields["crashes"], fields["crash"])) {
+        return `crash ${String(fields["crash"])}`;
+    }
     if (instance !== line.instance) {
         return undefined;
     }
     if (processStateEvents.has(event)) {
         return event.startsWith("store") ? `store ${String(fields["table"])}` : event;
     }
+    if (quarantineEvents.has(event) && fields["quarantine"] === line.fields["quarantine"]) {
+        return `quarantine ${String(fields["quarantine"])}`;
+    }
     const upstream = String(fields["upstream"]);
     return upstreamStateEvents.has(event) && upstreams.has(upstream) ? `upstream ${upstream}` : undefined;
 }
 
+function isListed(list: unknown, value: unknown): boolean {
+    return Array.isArray(list) && list.includes(value);
+}
+
 function plannerLinesAround(line: LogLine, lines: readonly LogLine[]): readonly LogLine[] {
     const upstreams = upstreamsNamedBy(line);
     return lines.filter(other =>
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./lease";
 export * from "./membership";
 export * from "./outcomes";
+export * from "./quarantine";
 export * from "./routing";
 export * from "./serving";
 export * from "./stateSource";
--- /dev/null
+++ b/packages/core/src/quarantine/__tests__/fleet.ts
@@ -0,0 +1,95 @@
+/** A fleet of processes that exchange reports in virtual time, for the tests of quarantines. */
+import { VirtualTimer } from "@rattanquay/timer";
+import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
+import { type QuarantineContent, type QuarantineEvent, SegmentQuarantine } from "../index";
+
+export const scope = "drafts/large";
+const stepMs = 25;
+const pulseMs = 250;
+const deliveryMs = 10;
+
+export type FleetProcess = {
+    readonly quarantine: SegmentQuarantine;
+    readonly events: QuarantineEvent[];
+    /** A suspended process neither steps nor receives; what is sent to it arrives when it goes on. */
+    isSuspended: boolean;
+};
+
+export type Fleet = {
+    readonly processes: readonly FleetProcess[];
+    readonly nowMs: () => number;
+    readonly advance: (durationMs: number) => void;
+    /** Reports that an upstream ended with a waiting request of one process. */
+    readonly crash: (process: number, crash: string, ...segments: readonly string[]) => void;
+    readonly sound: (process: number, ...segments: readonly string[]) => void;
+    readonly check: (process: number, ...segments: readonly string[]) => "allowed" | "trial" | "refused";
+    /** Starts a process that knows nothing and requests the state of another. */
+    readonly join: (from: number) => number;
+    readonly resume: (process: number) => void;
+};
+
+export function makeFleet(size: number): Fleet {
+    const timer = new VirtualTimer();
+    const generator = xoroshiro128plus(11);
+    const random = (): number => unsafeUniformIntDistribution(0, 999_999, generator) / 1_000_000;
+    const processes: FleetProcess[] = [];
+    const inboxes = new Map<FleetProcess, QuarantineContent[]>();
+    const deliver = (to: FleetProcess, content: QuarantineContent): void => {
+        timer.after(deliveryMs, () => {
+            if (to.isSuspended) {
+                inboxes.set(to, [...inboxes.get(to) ?? [], content]);
+                return;
+            }
+            to.quarantine.receive(content, timer.nowMs());
+        });
+    };
+    const broadcast = (from: FleetProcess): void => {
+        const content = from.quarantine.step(timer.nowMs());
+        if (content.crashes.length + content.sound.length + content.quarantines.length > 0) {
+            processes.filter(to => to !== from).forEach(to => deliver(to, content));
+        }
+    };
+    const start = (): FleetProcess => {
+        const events: QuarantineEvent[] = [];
+        const quarantine = new SegmentQuarantine({
+            onEvent: event => events.push(event),
+            random,
+            processes: () => size,
+        });
+        const process: FleetProcess = { quarantine, events, isSuspended: false };
+        processes.push(process);
+        timer.every(stepMs, () => process.isSuspended || broadcast(process));
+        quarantine.pulse(timer.nowMs());
+        timer.every(pulseMs, () => process.isSuspended || quarantine.pulse(timer.nowMs()));
+        return process;
+    };
+    Array.from({ length: size }, start);
+    return {
+        processes,
+        nowMs: timer.nowMs,
+        advance: durationMs => timer.advance(durationMs),
+        crash: (process, crash, ...segments) =>
+            processes[process]!.quarantine.noteCrash({ crash, scope, prompts: [segments] }, timer.nowMs()),
+        sound: (process, ...segments) =>
+            processes[process]!.quarantine.noteSound(scope, segments, timer.nowMs(), timer.nowMs()),
+        check: (process, ...segments) => {
+            const { kind } = processes[process]!.quarantine.check(scope, segments, timer.nowMs());
+            if (kind === "trial") {
+                broadcast(processes[process]!);
+            }
+            return kind;
+        },
+        join: from => {
+            const joined = start();
+            joined.quarantine.receive(processes[from]!.quarantine.snapshot(timer.nowMs()), timer.nowMs());
+            return processes.length - 1;
+        },
+        resume: process => {
+            const resumed = processes[process]!;
+            resumed.isSuspended = false;
+            resumed.quarantine.pulse(timer.nowMs());
+            (inboxes.get(resumed) ?? []).forEach(content => resumed.quarantine.receive(content, timer.nowMs()));
+            inboxes.delete(resumed);
+        },
+    };
+}
--- /dev/null
+++ b/packages/core/src/quarantine/crashEvidence.ts
@@ -0,0 +1,128 @@
+/**
+ * The ends of replicas that this process or a peer has seen, with the prompts that had not been answered.
+ *
+ * Reports of the same crash are merged: prompts and cleared segments are united, so the order of arrival does not matter.
+ */
+import { type CrashReport } from "@rattanquay/schema";
+import { type StandingCrash } from "./findCulprits";
+
+/** What one process saw of a crash. */
+export type OwnCrash = {
+    /** Identifies the incarnation of the replica that ended. */
+    readonly crash: string;
+    readonly scope: string;
+    readonly prompts: readonly (readonly string[])[];
+};
+
+export type CrashEvidence = {
+    /** Adds a report. Returns whether it says anything new. */
+    readonly add: (report: CrashReport, nowMs: number) => boolean;
+    /** Clears a segment of the crashes named. Returns whether that is new. */
+    readonly clear: (scope: string, segment: string, crashes: readonly string[]) => boolean;
+    /** Removes a crash from the evidence: the replica has not ended. Returns whether that is new. */
+    readonly revoke: (crash: string) => boolean;
+    /** Crashes seen before `beforeMs` at which a segment is not cleared. */
+    readonly accusing: (scope: string, segment: string, beforeMs: number) => readonly string[];
+    readonly standing: (scope: string, nowMs: number) => readonly StandingCrash[];
+    readonly scopes: () => readonly string[];
+    readonly atMs: (crash: string) => number | undefined;
+    readonly recent: (nowMs: number, withinMs: number) => readonly string[];
+    readonly reports: (nowMs: number) => readonly CrashReport[];
+};
+
+type Entry = {
+    readonly crash: string;
+    readonly scope: string;
+    readonly atMs: number;
+    readonly prompts: Map<string, readonly string[]>;
+    readonly cleared: Set<string>;
+    isRevoked: boolean;
+};
+
+const maxAgeMs = 600_000;
+const maxCrashes = 64;
+const maxPrompts = 48;
+const maxSegments = 16;
+const maxCleared = 256;
+/** Older crashes are not sent to peers: whoever was away for longer starts anew. */
+const maxSentAgeMs = 120_000;
+
+export function makeCrashEvidence(): CrashEvidence {
+    const entries = new Map<string, Entry>();
+    const standingPrompts = ({ prompts, cleared, isRevoked }: Entry): readonly (readonly string[])[] => {
+        const left = new Map<string, readonly string[]>();
+        for (const prompt of isRevoked ? [] : prompts.values()) {
+            const segments = prompt.filter(segment => !cleared.has(segment));
+            if (segments.length > 0) {
+                left.set(segments.join(","), segments);
+            }
+        }
+        return [...left.values()];
+    };
+    const add: CrashEvidence["add"] = ({ crash, scope, ageMs, prompts, cleared, isRevoked }, nowMs) => {
+        const isNew = !entries.has(crash);
+        const entry = entries.get(crash)
+            ?? { crash, scope, atMs: nowMs - ageMs, prompts: new Map(), cleared: new Set<string>(), isRevoked: false };
+        entries.set(crash, entry);
+        if (entries.size > maxCrashes) {
+            entries.delete(entries.keys().next().value!);
+        }
+        const sizeBefore = entry.prompts.size + entry.cleared.size;
+        for (const prompt of prompts) {
+            const segments = prompt.slice(0, maxSegments);
+            if (entry.prompts.size < maxPrompts) {
+                entry.prompts.set(segments.join(","), segments);
+            }
+        }
+        cleared.slice(0, maxCleared - entry.cleared.size).forEach(segment => entry.cleared.add(segment));
+        const isRevokedNow = isRevoked && !entry.isRevoked;
+        entry.isRevoked ||= isRevoked;
+        return isNew || isRevokedNow || entry.prompts.size + entry.cleared.size > sizeBefore;
+    };
+    const isAccused = ({ prompts, cleared, isRevoked }: Entry, segment: string): boolean =>
+        !isRevoked && !cleared.has(segment) && [...prompts.values()].some(prompt => prompt.includes(segment));
+    return {
+        add,
+        clear: (scope, segment, crashes) => {
+            let isNew = false;
+            for (const crash of crashes) {
+                const entry = entries.get(crash);
+                if (entry?.scope === scope && !entry.cleared.has(segment) && entry.cleared.size < maxCleared) {
+                    entry.cleared.add(segment);
+                    isNew = true;
+                }
+            }
+            return isNew;
+        },
+        revoke: crash => {
+            const entry = entries.get(crash);
+            if (entry === undefined || entry.isRevoked) {
+                return false;
+            }
+            entry.isRevoked = true;
+            return true;
+        },
+        accusing: (scope, segment, beforeMs) =>
+            [...entries.values()].flatMap(entry =>
+                entry.scope === scope && entry.atMs < beforeMs && isAccused(entry, segment) ? [entry.crash] : []
+            ),
+        standing: (scope, nowMs) =>
+            [...entries.values()].flatMap(entry => {
+                const prompts = entry.scope === scope && nowMs - entry.atMs < maxAgeMs ? standingPrompts(entry) : [];
+                return prompts.length === 0 ? [] : [{ crash: entry.crash, atMs: entry.atMs, prompts }];
+            }),
+        scopes: () => [...new Set([...entries.values()].map(({ scope }) => scope))],
+        atMs: crash => entries.get(crash)?.atMs,
+        recent: (nowMs, withinMs) =>
+            [...entries.values()].flatMap(({ crash, atMs, isRevoked }) =>
+                !isRevoked && nowMs - atMs < withinMs ? [crash] : []
+            ),
+        reports: nowMs =>
+            [...entries.values()].flatMap(entry => {
+                const ageMs = Math.max(0, Math.round(nowMs - entry.atMs));
+                const { crash, scope, cleared, isRevoked } = entry;
+                const prompts = standingPrompts(entry).map(prompt => [...prompt]);
+                return ageMs < maxSentAgeMs ? [{ crash, scope, ageMs, prompts, cleared: [...cleared], isRevoked }] : [];
+            }),
+    };
+}
--- /dev/null
+++ b/packages/core/src/quarantine/quarantineBook.ts
@@ -0,0 +1,168 @@
+/**
+ * The quarantines in force, as this process knows them.
+ *
+ * Every process keeps the same book. A quarantine is identified by its scope and segments; its rounds are numbered, and
+ * of two records of the same round the lifted one holds, so that records may arrive in any order.
+ */
+import { type QuarantineRecord } from "@rattanquay/schema";
+import { containsAll } from "./findCulprits";
+
+export type QuarantineEntry = {
+    readonly id: string;
+    readonly scope: string;
+    readonly segments: readonly string[];
+    readonly round: number;
+    readonly isLifted: boolean;
+    /** Replicas that have ended under it. */
+    readonly crashes: readonly string[];
+    readonly sinceMs: number;
+    readonly lastCrashMs: number;
+    /** Requests that were let through to see whether it still holds, and when the next one may be. */
+    readonly trials: number;
+    readonly nextTrialMs: number;
+};
+
+export type QuarantineBook = {
+    /** The quarantine that holds back a prompt. */
+    readonly find: (scope: string, prompt: readonly string[]) => QuarantineEntry | undefined;
+    readonly active: () => readonly QuarantineEntry[];
+    readonly impose: (
+        scope: string,
+        segments: readonly string[],
+        crashes: readonly string[],
+        nowMs: number,
+    ) => QuarantineEntry;
+    /** Records one more crash under a quarantine. Returns whether it was not known. */
+    readonly addCrash: (id: string, crash: string, nowMs: number) => boolean;
+    readonly beginTrial: (id: string, nowMs: number) => void;
+    readonly lift: (id: string) => void;
+    /** Adopts a peer's record. Returns whether it says anything new. */
+    readonly merge: (record: QuarantineRecord, nowMs: number) => boolean;
+    /** Drops what has not ended a replica for long. Returns the quarantines dropped. */
+    readonly expire: (nowMs: number) => readonly QuarantineEntry[];
+    readonly records: (nowMs: number) => readonly QuarantineRecord[];
+};
+
+/**
+ * The first trial comes soon, since the suspicion may be wrong. Each trial that ends a replica makes the next one much
+ * later, since two coincidences are far less likely than a segment that does end replicas.
+ */
+const firstTrialMs = 3_000;
+const trialFactor = 5;
+const maxTrialMs = 120_000;
+/** Above the longest interval between trials: while such requests come, a quarantine is renewed by its trials. */
+const maxIdleMs = 300_000;
+const maxEntries = 64;
+const maxCrashes = 16;
+
+export function quarantineId(scope: string, segments: readonly string[]): string {
+    return `${scope}:${[...segments].sort().join("+")}`;
+}
+
+export function makeQuarantineBook(): QuarantineBook {
+    const entries = new Map<string, QuarantineEntry>();
+    const set = (entry: QuarantineEntry): void => {
+        entries.delete(entry.id);
+        entries.set(entry.id, entry);
+        if (entries.size > maxEntries) {
+            entries.delete(entries.keys().next().value!);
+        }
+    };
+    const update = (id: string, change: (entry: QuarantineEntry) => Partial<QuarantineEntry>): void => {
+        const entry = entries.get(id);
+        if (entry !== undefined) {
+            entries.set(id, { ...entry, ...change(entry) });
+        }
+    };
+    const active = (): readonly QuarantineEntry[] => [...entries.values()].filter(({ isLifted }) => !isLifted);
+    return {
+        find: (scope, prompt) => active().find(entry => entry.scope === scope && containsAll(prompt, entry.segments)),
+        active,
+        impose: (scope, segments, crashes, nowMs) => {
+            const id = quarantineId(scope, segments);
+            const round = (entries.get(id)?.round ?? 0) + 1;
+            // A quarantine of fewer segments holds back all that one of more segments does.
+            for (const other of active()) {
+                if (other.scope === scope && other.id !== id && containsAll(other.segments, segments)) {
+                    update(other.id, () => ({ isLifted: true }));
+                }
+            }
+            const trials = 0;
+            const nextTrialMs = nowMs + trialIntervalMs(trials);
+            const known = crashes.slice(-maxCrashes);
+            const times = { sinceMs: nowMs, lastCrashMs: nowMs, nextTrialMs };
+            const entry = { id, scope, segments, round, isLifted: false, crashes: known, trials, ...times };
+            set(entry);
+            return entry;
+        },
+        addCrash: (id, crash, nowMs) => {
+            if (entries.get(id)?.crashes.includes(crash) !== false) {
+                return false;
+            }
+            update(id, ({ crashes, trials, nextTrialMs }) => ({
+                crashes: [...crashes, crash].slice(-maxCrashes),
+                lastCrashMs: nowMs,
+                nextTrialMs: Math.max(nextTrialMs, nowMs + trialIntervalMs(trials)),
+            }));
+            return true;
+        },
+        // A trial without an outcome is repeated soon; one that ends a replica postpones the next one by `addCrash`.
+        beginTrial: (id, nowMs) =>
+            update(id, ({ trials }) => ({ trials: trials + 1, nextTrialMs: nowMs + firstTrialMs })),
+        lift: id => update(id, () => ({ isLifted: true })),
+        merge: (record, nowMs) => {
+            const known = entries.get(quarantineId(record.scope, record.segments));
+            const received = entryOf(record, nowMs);
+            if (known === undefined || received.round > known.round) {
+                set(received);
+                return true;
+            }
+            if (received.round < known.round || known.isLifted) {
+                return false;
+            }
+            const crashes = [...new Set([...known.crashes, ...received.crashes])].slice(-maxCrashes);
+            const trials = Math.max(known.trials, received.trials);
+            const nextTrialMs = Math.max(
+                ...[known, received].flatMap(entry => entry.trials === trials ? [entry.nextTrialMs] : []),
+            );
+            const isNew = received.isLifted || trials > known.trials || crashes.length > known.crashes.length;
+            const lastCrashMs = Math.max(known.lastCrashMs, received.lastCrashMs);
+            set({ ...known, isLifted: received.isLifted, crashes, trials, nextTrialMs, lastCrashMs });
+            return isNew;
+        },
+        expire: nowMs => {
+            const expired = [...entries.values()].filter(({ lastCrashMs }) => nowMs - lastCrashMs > maxIdleMs);
+            expired.forEach(({ id }) => entries.delete(id));
+            return expired.filter(({ isLifted }) => !isLifted);
+        },
+        records: nowMs =>
+            [...entries.values()].map((
+                { scope, segments, round, isLifted, crashes, sinceMs, lastCrashMs, trials, nextTrialMs },
+            ) => ({
+                scope,
+                segments: [...segments],
+                round,
+                isLifted,
+                crashes: [...crashes],
+                ageMs: Math.max(0, Math.round(nowMs - sinceMs)),
+                lastCrashAgeMs: Math.max(0, Math.round(nowMs - lastCrashMs)),
+                trials,
+                nextTrialInMs: Math.max(0, Math.round(nextTrialMs - nowMs)),
+            })),
+    };
+}
+
+function trialIntervalMs(trials: number): number {
+    return Math.min(maxTrialMs, firstTrialMs * trialFactor ** trials);
+}
+
+function entryOf(record: QuarantineRecord, nowMs: number): QuarantineEntry {
+    const { ageMs, lastCrashAgeMs, nextTrialInMs, ...same } = record;
+    return {
+        ...same,
+        id: quarantineId(record.scope, record.segments),
+        sinceMs: nowMs - ageMs,
+        lastCrashMs: nowMs - lastCrashAgeMs,
+        nextTrialMs: nowMs + nextTrialInMs,
+    };
+}
--- /dev/null
+++ b/packages/core/src/quarantine/segmentQuarantine.ts
@@ -0,0 +1,260 @@
+/**
+ * Decides which requests are held back because a segment of their prompt ends the upstreams that answer it.
+ *
+ * Each process reports the ends of upstreams that it sees, and which segments upstreams write on without ending. All
+ * processes merge the reports and come to the same quarantines, whoever saw what. A scope is a service and a model:
+ * a segment that ends the upstreams of one model may be sound for another.
+ */
+import { type CrashReport, type QuarantineNews, type QuarantineRecord, type SoundReport } from "@rattanquay/schema";
+import { type CrashEvidence, makeCrashEvidence, type OwnCrash } from "./crashEvidence";
+import { containsAll, findCulprits } from "./findCulprits";
+import { makeQuarantineBook, type QuarantineBook, type QuarantineEntry, quarantineId } from "./quarantineBook";
+import { makeSoundReports, type SoundReports } from "./soundReports";
+
+export type QuarantineVerdict =
+    | { readonly kind: "allowed" }
+    /** The request is not held back, to see whether the quarantine is still needed. */
+    | { readonly kind: "trial"; readonly quarantine: QuarantineEntry }
+    | { readonly kind: "refused"; readonly quarantine: QuarantineEntry; readonly retryAfterMs: number };
+
+export type QuarantineEvent =
+    | { readonly kind: "imposed"; readonly quarantine: QuarantineEntry; readonly origin: "own" | "peer" }
+    | {
+        readonly kind: "lifted";
+        readonly quarantine: QuarantineEntry;
+        readonly reason: "answered" | "peer" | "expired";
+    };
+
+/** What peers must know; empty lists if nothing. */
+export type QuarantineContent = Pick<QuarantineNews, "crashes" | "sound" | "quarantines">;
+
+export type SegmentQuarantineOptions = {
+    readonly onEvent: (event: QuarantineEvent) => void;
+    /** Returns random numbers in [0, 1). */
+    readonly random: () => number;
+    /** The number of processes that exchange reports. */
+    readonly processes: () => number;
+};
+
+/** Time for a peer's report about sound segments to arrive, before a decision. */
+const reportDelayMs = 30;
+/** Such reports are spread over this time for each process that could send one, so that most need not be sent. */
+const spreadPerProcessMs = 2;
+const maxSpreadMs = 80;
+/** After an interval between pulses that is longer than this, the process was suspended. */
+const suspendedAfterMs = 1_500;
+/** By then, a process that was suspended has received what its peers know. */
+const trialHoldMs = 1_500;
+/** Processes are ready for a trial at different moments within this time, so that one begins it and the others know. */
+const trialSpreadMs = 1_000;
+/** The outcome of a trial is known by then, and callers that were refused return at different moments after it. */
+const trialOutcomeMs = 1_500;
+const returnSpreadMs = 1_500;
+
+/** The prompts in all parameters are lists of segments without the last one. */
+export class SegmentQuarantine {
+    private readonly evidence: CrashEvidence = makeCrashEvidence();
+    private readonly book: QuarantineBook = makeQuarantineBook();
+    private readonly sound: SoundReports;
+    private readonly trialDelayMs: number;
+    private readonly changedCrashes = new Set<string>();
+    private readonly changedQuarantines = new Set<string>();
+    private decideAtMs: number | undefined;
+    private snapshotVersion = 0;
+    private lastPulseMs = -Infinity;
+    private holdTrialsUntilMs = -Infinity;
+
+    constructor(private readonly options: SegmentQuarantineOptions) {
+        this.sound = makeSoundReports(() => options.random() * this.reportSpreadMs());
+        this.trialDelayMs = options.random() * trialSpreadMs;
+    }
+
+    /** Decides about a request that is about to be sent. */
+    check(scope: string, prompt: readonly string[], nowMs: number): QuarantineVerdict {
+        const quarantine = prompt.length === 0 ? undefined : this.book.find(scope, prompt);
+        if (quarantine === undefined) {
+            return { kind: "allowed" };
+        }
+        if (nowMs >= Math.max(quarantine.nextTrialMs + this.trialDelayMs, this.holdTrialsUntilMs)) {
+            this.book.beginTrial(quarantine.id, nowMs);
+            this.announce(quarantine.id);
+            return { kind: "trial", quarantine };
+        }
+        const untilTrialMs = Math.max(0, quarantine.nextTrialMs + trialSpreadMs - nowMs);
+        const retryAfterMs = untilTrialMs + trialOutcomeMs + this.options.random() * returnSpreadMs;
+        return { kind: "refused", quarantine, retryAfterMs };
+    }
+
+    /** Records requests that an upstream had not begun to answer when it ended. */
+    noteCrash({ crash, scope, prompts }: OwnCrash, nowMs: number): void {
+        const shared = prompts.filter(prompt => prompt.length > 0).map(prompt => [...prompt]);
+        const report = { crash, scope, ageMs: 0, prompts: shared, cleared: [], isRevoked: false };
+        if (shared.length > 0 && this.addCrash(report, nowMs)) {
+            this.changedCrashes.add(crash);
+        }
+    }
+
+    /** Records that an upstream began to write an answer at `beganAtMs` and has not ended. */
+    noteSound(scope: string, prompt: readonly string[], beganAtMs: number, nowMs: number): void {
+        for (const segment of prompt) {
+            this.sound.noteOwn(scope, segment);
+            const crashes = this.evidence.accusing(scope, segment, beganAtMs);
+            if (crashes.length > 0) {
+                this.evidence.clear(scope, segment, crashes);
+                this.snapshotVersion++;
+                this.sound.schedule({ scope, segment, crashes: [...crashes] }, nowMs);
+            }
+        }
+        for (const quarantine of this.matching(scope, [prompt])) {
+            if (quarantine.lastCrashMs < beganAtMs) {
+                this.book.lift(quarantine.id);
+                this.announce(quarantine.id);
+                this.options.onEvent({ kind: "lifted", quarantine, reason: "answered" });
+            }
+        }
+    }
+
+    /** Records that the upstream of a crash has sent something since, and so did not end. */
+    noteAlive(crash: string): void {
+        if (this.evidence.revoke(crash)) {
+            this.changedCrashes.add(crash);
+            this.snapshotVersion++;
+        }
+    }
+
+    /** Adopts what a peer reports. Returns whether anything of it is new. */
+    receive({ crashes, sound, quarantines }: QuarantineContent, nowMs: number): boolean {
+        const news = [
+            ...sound.map(report => this.addSound(report)),
+            ...quarantines.map(record => this.mergeRecord(record, nowMs)),
+            ...crashes.map(report => this.addCrash(report, nowMs)),
+        ];
+        return news.includes(true);
+    }
+
+    /** Takes decisions that are due. Returns what has changed since the last step, to be sent to all peers. */
+    step(nowMs: number): QuarantineContent {
+        if (this.decideAtMs !== undefined && nowMs >= this.decideAtMs) {
+            this.decideAtMs = undefined;
+            this.decide(nowMs);
+        }
+        const { crashes, quarantines } = this.snapshot(nowMs);
+        const content = {
+            crashes: crashes.filter(({ crash }) => this.changedCrashes.has(crash)),
+            sound: this.sound.takeDue(nowMs),
+            quarantines: quarantines.filter(({ scope, segments }) =>
+                this.changedQuarantines.has(quarantineId(scope, segments))
+            ),
+        };
+        this.changedCrashes.clear();
+        this.changedQuarantines.clear();
+        return content;
+    }
+
+    /** Whether `step` must be called again soon. */
+    isPending(): boolean {
+        return this.decideAtMs !== undefined
+            || this.sound.isPending()
+            || this.changedCrashes.size + this.changedQuarantines.size > 0;
+    }
+
+    /** Must be called at intervals: a process that was suspended begins no trials until it has received its peers' state. */
+    pulse(nowMs: number): void {
+        if (nowMs - this.lastPulseMs > suspendedAfterMs) {
+            this.holdTrialsUntilMs = nowMs + trialHoldMs;
+        }
+        this.lastPulseMs = nowMs;
+        for (const quarantine of this.book.expire(nowMs)) {
+            this.snapshotVersion++;
+            this.options.onEvent({ kind: "lifted", quarantine, reason: "expired" });
+        }
+    }
+
+    /** Everything that a process needs that knows nothing. */
+    snapshot(nowMs: number): QuarantineContent {
+        return { crashes: [...this.evidence.reports(nowMs)], sound: [], quarantines: [...this.book.records(nowMs)] };
+    }
+
+    /** Grows with each change of the snapshot. */
+    version(): number {
+        return this.snapshotVersion;
+    }
+
+    active(): readonly QuarantineEntry[] {
+        return this.book.active();
+    }
+
+    recentCrashes(nowMs: number, withinMs: number): readonly string[] {
+        return this.evidence.recent(nowMs, withinMs);
+    }
+
+    private reportSpreadMs(): number {
+        return Math.min(maxSpreadMs, spreadPerProcessMs * this.options.processes());
+    }
+
+    private announce(id: string): void {
+        this.changedQuarantines.add(id);
+        this.snapshotVersion++;
+    }
+
+    private matching(scope: string, prompts: readonly (readonly string[])[]): readonly QuarantineEntry[] {
+        return this.book.active().filter(entry =>
+            entry.scope === scope && prompts.some(prompt => containsAll(prompt, entry.segments))
+        );
+    }
+
+    private addCrash(report: CrashReport, nowMs: number): boolean {
+        if (!this.evidence.add(report, nowMs)) {
+            return false;
+        }
+        this.snapshotVersion++;
+        for (const { id } of this.matching(report.scope, report.prompts)) {
+            if (this.book.addCrash(id, report.crash, nowMs)) {
+                this.announce(id);
+            }
+        }
+        this.sound.scheduleKnown(report, nowMs);
+        this.decideAtMs ??= nowMs + reportDelayMs + this.reportSpreadMs();
+        return true;
+    }
+
+    private addSound(report: SoundReport): boolean {
+        const isNew = this.sound.receive(report);
+        const isCleared = this.evidence.clear(report.scope, report.segment, report.crashes);
+        this.snapshotVersion += isCleared ? 1 : 0;
+        return isNew || isCleared;
+    }
+
+    private mergeRecord(record: QuarantineRecord, nowMs: number): boolean {
+        const id = quarantineId(record.scope, record.segments);
+        const find = (): QuarantineEntry | undefined => this.book.active().find(entry => entry.id === id);
+        const before = find();
+        const isNew = this.book.merge(record, nowMs);
+        const after = find();
+        if (before === undefined && after !== undefined) {
+            this.options.onEvent({ kind: "imposed", quarantine: after, origin: "peer" });
+        }
+        if (before !== undefined && after === undefined) {
+            this.options.onEvent({ kind: "lifted", quarantine: before, reason: "peer" });
+        }
+        this.snapshotVersion += isNew ? 1 : 0;
+        return isNew;
+    }
+
+    private decide(nowMs: number): void {
+        for (const scope of this.evidence.scopes()) {
+            const known = this.book.active().filter(entry => entry.scope === scope);
+            const culprits = findCulprits({
+                crashes: this.evidence.standing(scope, nowMs),
+                quarantined: known.map(({ segments }) => segments),
+                isKnownSound: segment => this.sound.isKnown(scope, segment),
+            });
+            for (const { segments, crashes } of culprits) {
+                const superseded = known.filter(entry => containsAll(entry.segments, segments));
+                const quarantine = this.book.impose(scope, segments, crashes, nowMs);
+                [quarantine, ...superseded].forEach(({ id }) => this.announce(id));
+                this.options.onEvent({ kind: "imposed", quarantine, origin: "own" });
+            }
+        }
+    }
+}
--- a/packages/core/src/serving/upstreamLoad.ts
+++ b/packages/core/src/serving/upstreamLoad.ts
@@ -25,6 +25,8 @@
     readonly notePeerSuspicion: (nowMs: number) => void;
     /** Whether this instance itself suspects it. */
     readonly isSuspectedLocally: (nowMs: number) => boolean;
+    /** When this instance last received something from it. */
+    readonly ownProgressAtMs: () => number;
     /** When this or another instance last received something from it. */
     readonly progressAtMs: () => number;
     readonly own: () => number;
@@ -50,6 +52,7 @@
     let silentAtMs = -Infinity;
     let peerSuspectedAtMs = -Infinity;
     let progressAtMs = -Infinity;
+    let ownProgressAtMs = -Infinity;
     const isDoubted = (nowMs: number): boolean =>
         nowMs - stalledAtMs < suspicionMs
         || (nowMs - silentAtMs < suspicionMs && progressAtMs < silentAtMs);
@@ -70,6 +73,7 @@
         },
         noteProgress: nowMs => {
             progressAtMs = nowMs;
+            ownProgressAtMs = nowMs;
             stalledAtMs = -Infinity;
         },
         notePeerProgress: atMs => {
@@ -89,6 +93,7 @@
             peerSuspectedAtMs = nowMs;
         },
         isSuspectedLocally: isDoubted,
+        ownProgressAtMs: () => ownProgressAtMs,
         progressAtMs: () => progressAtMs,
         own: () => own,
         estimate: nowMs => {
--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -15,7 +15,7 @@
     /** The upstream states that it did not run the request. */
     | { readonly kind: "rejected"; readonly head: AnswerHead }
     /** The request may have run, and its answer is missing or incomplete. */
-    | { readonly kind: "cut"; readonly reason: string };
+    | { readonly kind: "cut"; readonly reason: string; readonly isAborted: boolean };
 
 export type AttemptEvents = {
     readonly onHead: (head: AnswerHead, answer: IncomingMessage) => void;
@@ -70,7 +70,12 @@
             // A refused connection leaves the upstream without load, and it would be preferred for that.
             load.noteUnreachable(timer.nowMs());
         }
-        finish({ kind: mayHaveBeenSent ? "cut" : "unreached", reason: abortReason ?? reason });
+        const isAborted = abortReason !== undefined;
+        finish(
+            mayHaveBeenSent
+                ? { kind: "cut", reason: abortReason ?? reason, isAborted }
+                : { kind: "unreached", reason: abortReason ?? reason },
+        );
     };
     const abort = (reason: string): void => {
         if (ended) {
@@ -91,8 +96,7 @@
     client.on("response", answer => {
         const head = options.wire.readHead(answer);
         if (!answersRequest(head, options.requestId)) {
-            closeForGood(client);
-            fail("the answer belongs to another request");
+            abort("the answer belongs to another request");
             return;
         }
         hasHead = true;
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -16,8 +16,9 @@
 } from "@rattanquay/core";
 import { type Ending } from "@rattanquay/schema";
 import { type Cancel } from "@rattanquay/timer";
+import { type ObservedEnd, type PromptRequest } from "../quarantine";
 import { type AdmittedRequest } from "./admittedRequest";
-import { type Attempt, type AttemptEvents, type AttemptOptions, startAttempt } from "./attempt";
+import { type Attempt, type AttemptEnd, type AttemptEvents, type AttemptOptions, startAttempt } from "./attempt";
 import { type ExchangeDependencies } from "./exchangeDependencies";
 import { isTooLate, priorityOf, retryAfterMs } from "./loadShedding";
 import { choosePlacement, type Placement } from "./placement";
@@ -111,18 +112,13 @@
         this.onEnd({ ending, code, status, upstreams: [...triedUpstreams], firstByteMs, predictedMs, segments });
     }
 
-    private refuseWith(refusal: Refusal): void {
+    private refuseWith(refusal: Refusal, retryDelayMs = retryAfterMs(this.admitted, this.dependencies)): void {
         if (this.hasEnded) {
             return;
         }
         const { admitted, dependencies } = this;
-        refuse(
-            admitted.response,
-            admitted.request,
-            refusal,
-            dependencies.context.ports.requestCodec,
-            retryAfterMs(admitted, dependencies),
-        );
+        const { requestCodec } = dependencies.context.ports;
+        refuse(admitted.response, admitted.request, refusal, requestCodec, retryDelayMs);
         const { status, ending } = refusals[refusal];
         this.finish(ending, refusal, status);
     }
@@ -151,8 +147,22 @@
         this.refuseWith(isNotRun ? "notRun" : "outOfTime");
     }
 
+    /** Ends a request whose prompt is quarantined: as not run, unless an upstream may have run it before. */
+    private endQuarantined(retryDelayMs: number): void {
+        if (this.errorAnswer !== undefined || endingOfAttempts(this.sends) === "unknown") {
+            this.endWithoutSuccess("quarantined");
+            return;
+        }
+        this.refuseWith("quarantined", retryDelayMs);
+    }
+
     private sendNext(): void {
         const { admitted, dependencies, sends, relay } = this;
+        const verdict = dependencies.quarantine.check(promptRequestOf(admitted));
+        if (verdict.kind === "refused") {
+            this.endQuarantined(verdict.retryAfterMs);
+            return;
+        }
         const placement = choosePlacement(admitted, this.triedUpstreams, dependencies);
         if (placement === undefined) {
             this.endWithoutSuccess("noUpstream");
@@ -214,20 +224,29 @@
                     placement.noteFirstEvent(lastBytesAtMs - attempt.startedAtMs);
                 }
                 if (!this.hasEnded) {
-                    abortFor(reader.onBytes(bytes));
+                    const abortReason = reader.onBytes(bytes);
+                    if (reader.hasOutput()) {
+                        watch.noteOutput();
+                    }
+                    abortFor(abortReason);
                 }
                 return pauseForCaller();
             },
             onEnd: end => {
                 this.cancelStallWatch();
-                if (!this.hasEnded) {
-                    this.currentAttempt = undefined;
-                    const answeringMs = firstBytesAtMs === undefined ? undefined : timer.nowMs() - firstBytesAtMs;
-                    this.handleResult(reader.onEnd(end), placement, answeringMs);
+                if (this.hasEnded) {
+                    watch.noteEnd("other");
+                    return;
                 }
+                this.currentAttempt = undefined;
+                const answeringMs = firstBytesAtMs === undefined ? undefined : timer.nowMs() - firstBytesAtMs;
+                const result = reader.onEnd(end);
+                watch.noteEnd(observeEnd(end, result));
+                this.handleResult(result, placement, answeringMs);
             },
         };
         const attempt = startAttempt(this.optionsFor(placement), events);
+        const watch = dependencies.quarantine.watch(promptRequestOf(admitted), upstream, attempt.abort);
         this.currentAttempt = attempt;
         const isStalled = (nowMs: number): boolean => {
             if (isPaused) {
@@ -346,6 +365,19 @@
     }
 }
 
+function promptRequestOf({ caller: { requestId, model, promptSegments }, service }: AdmittedRequest): PromptRequest {
+    return { requestId, service: service.service, model, promptSegments };
+}
+
+/** Distinguishes upstreams that broke an answer off from attempts that this process or the caller ended. */
+function observeEnd(end: AttemptEnd, result: AttemptResult): ObservedEnd {
+    if (result.kind === "answered") {
+        return "answered";
+    }
+    const isInsideEvent = end.kind === "whole" && result.kind === "short";
+    return isInsideEvent || (end.kind === "cut" && !end.isAborted) ? "brokenOff" : "other";
+}
+
 /** Undefined for requests without a prompt, so that their log lines have no empty list. */
 function segmentsForLog({ caller: { promptSegments } }: AdmittedRequest): readonly string[] | undefined {
     return promptSegments.length === 0 ? undefined : promptSegments.slice(0, maxLoggedSegments);
--- a/packages/gateway/src/exchange/refusals.ts
+++ b/packages/gateway/src/exchange/refusals.ts
@@ -9,6 +9,11 @@
     noUpstream: { status: 503, ending: "notRun", message: "No upstream serves this now." },
     overloaded: { status: 503, ending: "notRun", message: "It could not be served in time." },
     notRun: { status: 503, ending: "notRun", message: "Every upstream that was asked declined to run it." },
+    quarantined: {
+        status: 503,
+        ending: "notRun",
+        message: "A segment of its prompt has ended the upstreams that answered it; requests with it are held back.",
+    },
     unreadablePath: { status: 400, ending: "notRun", message: "The request's target cannot be passed on." },
     unknownKey: { status: 401, ending: "notRun", message: "The key is missing or unknown." },
     unknownRoute: { status: 404, ending: "notRun", message: "No route matches the host and path." },
--- a/packages/gateway/src/exchange/relays.ts
+++ b/packages/gateway/src/exchange/relays.ts
@@ -41,6 +41,8 @@
     readonly onHead: (head: AnswerHead, answer: IncomingMessage) => string | undefined;
     readonly onBytes: (bytes: Buffer) => string | undefined;
     readonly onEnd: (end: AttemptEnd) => AttemptResult;
+    /** Whether the upstream has written a part of a successful answer; of a stream, a complete event. */
+    readonly hasOutput: () => boolean;
 };
 
 type Hooks = { readonly onFirstByte: () => void };
@@ -105,8 +107,8 @@
                     admitted.response.write(bytes);
                     return undefined;
                 }
-                chunks.push(bytes);
                 size += bytes.length;
+                chunks.push(bytes);
                 if (size > maxBufferedBytes) {
                     isPassingThrough = true;
                     writeHead(admitted.response, head!.status, headers, head!.hasMarkedEnd);
@@ -132,6 +134,7 @@
                 sendBuffered(admitted, answer);
                 return { kind: "answered", status };
             },
+            hasOutput: () => size > 0 && head !== undefined && isSuccess(head.status),
         };
     };
     return { lastEventId: () => admitted.caller.lastEventId, begin };
@@ -146,6 +149,7 @@
         const splitter = makeEventSplitter();
         const errorReader = bufferedRelay(admitted, dependencies, hooks).begin();
         let isStream = false;
+        let hasOutput = false;
         let hasMarkedEnd = true;
         let headers: RawHeaders = [];
         let status = 0;
@@ -168,6 +172,7 @@
                     return errorReader.onBytes(bytes);
                 }
                 for (const event of splitter.push(bytes.toString("latin1"))) {
+                    hasOutput = true;
                     const verdict = order.checkNext(event.id);
                     if (verdict === "gap") {
                         return "an event is missing";
@@ -193,6 +198,7 @@
                 response.end();
                 return { kind: "answered", status };
             },
+            hasOutput: () => hasOutput,
         };
     };
     return { lastEventId: order.lastId, begin };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 import { type GatewayContext } from "./gatewayContext";
 import { type CallerListener, startCallerListener, startMetricsListener, startReadinessListener } from "./listeners";
 import { type Peers, startPeers } from "./peers";
+import { Quarantine } from "./quarantine";
 import { makeUpstreamRegistry } from "./upstreams";
 
 export type GatewayOptions = GatewayContext;
@@ -41,6 +42,7 @@
     const { clusterState } = clusterStateWatch;
     const registry = makeUpstreamRegistry(clusterState);
     const stallWatch = makeStallWatch(timer);
+    const quarantine = new Quarantine(context, registry, () => components.peers?.instances() ?? 1);
     const budget = makeSharedRetryBudget(settings.bounds.repeats);
     const dependencies: ExchangeDependencies = {
         context,
@@ -49,6 +51,7 @@
         budget,
         instances,
         stallWatch,
+        quarantine,
         biases: makePredictionBiases(),
     };
     const isReady = (): boolean => !isDraining && clusterState.routes() !== undefined && clusterState.hasCompleteList();
@@ -63,7 +66,7 @@
     const peers = await startPeers(context, clusterStateWatch, registry, {
         isPlanner,
         receiveProbeReport: report => components.planning?.receiveProbeReport(report),
-    });
+    }, quarantine);
     const planning = startPlanning({
         context,
         clusterState,
@@ -85,6 +88,7 @@
         metricsListener.close();
         clusterStateWatch.stop();
         stallWatch.stop();
+        quarantine.stop();
         registry.stop();
     };
     const stop = async (): Promise<{ readonly cut: number }> => {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -61,6 +61,28 @@
             help: "Requests whose answers have not wholly left this process.",
             registers,
         }),
+        suspectedCrashes: new Counter({
+            name: "rattanquay_gateway_suspected_crashes_total",
+            help: "Requests with a prompt that an upstream broke off before it had begun to answer them.",
+            registers,
+        }),
+        quarantines: new Gauge({
+            name: "rattanquay_gateway_quarantines",
+            help: "Quarantines of prompt segments in force here.",
+            registers,
+        }),
+        quarantineChanges: new Counter({
+            name: "rattanquay_gateway_quarantine_changes_total",
+            help: "Quarantines that were imposed or lifted here.",
+            labelNames: ["change"],
+            registers,
+        }),
+        quarantinedRequests: new Counter({
+            name: "rattanquay_gateway_quarantined_requests_total",
+            help: "Requests with a quarantined segment that were refused, or let through as a trial.",
+            labelNames: ["decision"],
+            registers,
+        }),
         logLinesDropped: new Counter({
             name: "rattanquay_gateway_log_lines_dropped_total",
             help: "Log lines left out because of the bound on their rate or a reader that does not keep up.",
--- a/packages/gateway/src/peers/__tests__/loadGossip.test.ts
+++ b/packages/gateway/src/peers/__tests__/loadGossip.test.ts
@@ -17,6 +17,7 @@
         groupHeads: () => [],
         localLoads: () => new Map(own > 0 ? [["head", own]] : []),
         doubts: () => [],
+        isExpectedToServe: () => true,
         progress: (atMs, withinMs) => {
             const ageMs = atMs - load.progressAtMs();
             return ageMs < withinMs ? [{ upstream: "head", ageMs }] : [];
--- a/packages/gateway/src/peers/gossipRounds.ts
+++ b/packages/gateway/src/peers/gossipRounds.ts
@@ -6,6 +6,7 @@
  */
 import { type Cancel } from "@rattanquay/timer";
 import { type GatewayContext } from "../gatewayContext";
+import { type Quarantine } from "../quarantine";
 import { type Links } from "./links";
 import { type LoadGossip } from "./loadGossip";
 import { type PeerDirectory } from "./peerDirectory";
@@ -17,11 +18,16 @@
 /** Messages to each other zone in each round, from all processes of this zone together. */
 const messagesPerOtherZone = 2;
 
+export type GossipSources = {
+    readonly gossip: LoadGossip;
+    readonly quarantine: Quarantine;
+    readonly directory: PeerDirectory;
+    readonly links: Links;
+};
+
 export function startGossipRounds(
     { settings: { availabilityZone }, timer, random }: GatewayContext,
-    gossip: LoadGossip,
-    directory: PeerDirectory,
-    links: Links,
+    { gossip, quarantine, directory, links }: GossipSources,
 ): Cancel {
     let round = 0;
     return timer.every(gossipEveryMs, () => {
@@ -35,7 +41,12 @@
         }
         const otherZones = new Set(otherZonePeers.map(peer => peer.availabilityZone)).size;
         if (random() * (sameZonePeers.length + 1) < messagesPerOtherZone * otherZones) {
-            links.tell(sample(otherZonePeers, 1, random).map(({ address }) => address), gossip.forOtherZone());
+            const receiver = sample(otherZonePeers, 1, random).map(({ address }) => address);
+            links.tell(receiver, gossip.forOtherZone());
+            const news = quarantine.snapshot();
+            if (news !== undefined) {
+                links.tell(receiver, news);
+            }
         }
         gossip.apply(rounds * gossipEveryMs);
     });
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -14,16 +14,19 @@
 } from "@rattanquay/schema";
 import { type ClusterStateWatch } from "../clusterState";
 import { type GatewayContext } from "../gatewayContext";
+import { type Quarantine } from "../quarantine";
 import { type UpstreamRegistry } from "../upstreams";
 import { type FrameHandlers, type FrameLink, makeFrameLink } from "./frameLink";
 import { startGossipRounds } from "./gossipRounds";
 import { makeLinks } from "./links";
 import { makeLoadGossip } from "./loadGossip";
 import { makeOrderPasser, type PassedOrder } from "./passOrder";
-import { type PeerDirectory, startPeerDirectory } from "./peerDirectory";
-import { answerStateRequest, applyStateAnswer, makeStateRequest } from "./stateAnswers";
+import { startPeerDirectory } from "./peerDirectory";
+import { startQuarantineExchange } from "./quarantineExchange";
+import { answerStateRequest } from "./stateAnswers";
 import { startStateFollower } from "./stateFollower";
 import { startStateRelay } from "./stateRelay";
+import { startStateSync } from "./stateSync";
 
 /**
  * How this process competes for the planning lease. Relays are preferred: they know the cluster state first and have
@@ -56,26 +59,24 @@
     readonly close: () => void;
 };
 
-/** Many round trips to the farthest peer. */
-const askTimeoutMs = 500;
 const orderTimeoutMs = 500;
-/** How often a peer is asked for cluster state while the store does not answer. */
-const syncEveryMs = 400;
 
 export async function startPeers(
     context: GatewayContext,
     watch: ClusterStateWatch,
     registry: UpstreamRegistry,
     planner: PlannerAccess,
+    quarantine: Quarantine,
 ): Promise<Peers> {
-    const { clusterState, configuration, upstreams } = watch;
-    const { settings: { listeners, availabilityZone, instance }, timer, random, log, ports: { engines } } = context;
+    const { clusterState } = watch;
+    const { settings: { listeners, availabilityZone, instance }, timer, log, ports: { engines } } = context;
     const directory = startPeerDirectory(context);
     const gossip = makeLoadGossip({ instance, availabilityZone, registry, nowMs: timer.nowMs });
     const handlers: {
         readonly [K in GatewayRequest["kind"]]: (ask: Extract<GatewayRequest, { kind: K }>) => Promise<GatewayAnswer>;
     } = {
         clusterState: async ask => answerStateRequest(ask, clusterState),
+        quarantines: async () => ({ kind: "quarantines", news: quarantineExchange.snapshot() }),
         instances: async () => ({ kind: "instances", instances: [...directory.all()] }),
         passOrder: async ({ upstream, order }) => {
             const { result } = await engines.order(upstream, order, orderTimeoutMs);
@@ -89,7 +90,8 @@
             (receivers[message.kind] as (message: GatewayMessage, link: FrameLink) => void)(message, link),
     };
     const links = makeLinks(frameHandlers, context);
-    const relay = startStateRelay(context, watch);
+    const relay = startStateRelay(context, watch, quarantine);
+    const quarantineExchange = startQuarantineExchange(context, quarantine, directory, links);
     const follower = startStateFollower({ context, watch, directory, links, isPlanner: planner.isPlanner });
     directory.setSource(follower.requestInstances);
     const receivers: {
@@ -98,7 +100,11 @@
             link: FrameLink,
         ) => void;
     } = {
-        loads: gossip.receive,
+        loads: (message, link) => {
+            quarantineExchange.noteSender(message.instance, link);
+            gossip.receive(message);
+        },
+        quarantineNews: quarantineExchange.receive,
         subscribe: (unused, link) => {
             relay.subscribe(link);
             follower.noteSubscriber();
@@ -113,26 +119,8 @@
             onSocket: socket => makeFrameLink(socket, frameHandlers, timer),
         });
 
-    const syncClusterState = async (): Promise<void> => {
-        const isUnavailable = configuration.isUnavailable() || upstreams.isUnavailable();
-        const isIncomplete = clusterState.routes() === undefined || !clusterState.hasCompleteList();
-        const address = choosePeerAddress(directory, availabilityZone, random);
-        if ((!isUnavailable && !isIncomplete) || address === undefined) {
-            return;
-        }
-        const answer = await links.ask(address, makeStateRequest(clusterState), askTimeoutMs);
-        if (answer?.kind === "clusterState") {
-            applyStateAnswer(answer, clusterState);
-        }
-    };
-    let syncing = false;
-    const cancelSync = timer.every(syncEveryMs, () => {
-        if (!syncing) {
-            syncing = true;
-            void syncClusterState().finally(() => syncing = false);
-        }
-    });
-    const cancelLoads = startGossipRounds(context, gossip, directory, links);
+    const cancelSync = startStateSync({ context, watch, directory, links, quarantineExchange });
+    const cancelLoads = startGossipRounds(context, { gossip, quarantine, directory, links });
     return {
         instances: () => directory.peers().length + 1,
         isFirstOfZone: () => directory.peers().length > 0 && follower.isFirst(),
@@ -167,14 +155,3 @@
         },
     };
 }
-
-/** Chooses a peer, preferring the same zone, or a seed while no peer is known. */
-function choosePeerAddress({ peers, seeds }: PeerDirectory, zone: string, random: () => number): string | undefined {
-    const sameZonePeers = peers().filter(({ availabilityZone }) => availabilityZone === zone);
-    const pool = sameZonePeers.length > 0 && random() < sameZoneShare ? sameZonePeers : peers();
-    const addresses = pool.length > 0 ? pool.map(({ address }) => address) : seeds;
-    return addresses[Math.floor(random() * addresses.length)];
-}
-
-/** Traffic between zones is expensive, but the store may be unavailable to all processes of a zone. */
-const sameZoneShare = 0.6;
--- a/packages/gateway/src/peers/stateRelay.ts
+++ b/packages/gateway/src/peers/stateRelay.ts
@@ -6,6 +6,7 @@
 import { type Cancel } from "@rattanquay/timer";
 import { type ClusterStateWatch } from "../clusterState";
 import { type GatewayContext } from "../gatewayContext";
+import { type Quarantine } from "../quarantine";
 import { encodeMessage, type FrameLink } from "./frameLink";
 
 export type StateRelay = {
@@ -18,15 +19,20 @@
 const noticeEveryMs = 300;
 /** Changes within this time share one notice. */
 const changeDelayMs = 15;
+/** Changes of quarantines within this time are sent together. */
+const quarantineDelayMs = 30;
 /** Subscribers renew their subscription several times within this time. */
 const subscriptionMs = 3_500;
 
 export function startStateRelay(
     { settings: { instance }, timer, log }: GatewayContext,
     watch: ClusterStateWatch,
+    quarantine: Quarantine,
 ): StateRelay {
     const { clusterState } = watch;
     const subscribedAtMs = new Map<FrameLink, number>();
+    /** The version of the quarantines that each subscriber was sent last. */
+    const quarantineVersions = new WeakMap<FrameLink, number>();
     let cancelPending: Cancel | undefined;
     let hasLeft = false;
     const makeNotice = (): StateNotice => ({
@@ -37,6 +43,17 @@
         isCurrent: watch.isCurrent(),
         isLeaving: hasLeft,
     });
+    /** Sends quarantines to subscribers that lack the newest state, as a part of the notice. */
+    const sendQuarantines = (): void => {
+        const version = quarantine.version();
+        const behind = [...subscribedAtMs.keys()].filter(link => (quarantineVersions.get(link) ?? 0) < version);
+        const news = behind.length === 0 ? undefined : quarantine.snapshot();
+        if (news !== undefined) {
+            const encoded = encodeMessage(news);
+            behind.forEach(link => link.tell(encoded));
+        }
+        behind.forEach(link => quarantineVersions.set(link, version));
+    };
     const removeEnded = (): void => {
         for (const [link, atMs] of subscribedAtMs) {
             if (!link.isOpen() || timer.nowMs() - atMs > subscriptionMs) {
@@ -51,6 +68,7 @@
         watch.setRelaying(subscribedAtMs.size > 0);
         const notice = encodeMessage(makeNotice());
         subscribedAtMs.forEach((unused, link) => link.tell(notice));
+        sendQuarantines();
     };
     const notifySoon = (): void => {
         if (subscribedAtMs.size > 0) {
@@ -59,6 +77,16 @@
     };
     clusterState.onUpstreams(notifySoon);
     clusterState.onConfiguration(notifySoon);
+    let cancelQuarantines: Cancel | undefined;
+    // A process that has just started subscribes before its peers know of it.
+    quarantine.onChange(() => {
+        if (subscribedAtMs.size > 0) {
+            cancelQuarantines ??= timer.after(quarantineDelayMs, () => {
+                cancelQuarantines = undefined;
+                sendQuarantines();
+            });
+        }
+    });
     const cancelNotices = timer.every(noticeEveryMs, notifyAll);
     return {
         subscribe: link => {
@@ -72,6 +100,7 @@
             if (isNew) {
                 log.info("stateSubscribed", { subscribers: subscribedAtMs.size });
                 link.tell(encodeMessage(makeNotice()));
+                sendQuarantines();
             }
         },
         leave: () => {
@@ -82,6 +111,7 @@
         stop: () => {
             cancelNotices();
             cancelPending?.();
+            cancelQuarantines?.();
         },
     };
 }
--- a/packages/gateway/src/upstreams/upstreamRegistry.ts
+++ b/packages/gateway/src/upstreams/upstreamRegistry.ts
@@ -16,6 +16,8 @@
     readonly plain: (service: string) => readonly KnownUpstream[];
     /** Heads (members of rank 0) of the open groups that serve a model. */
     readonly groupHeads: (service: string, model: string) => readonly KnownUpstream[];
+    /** Whether an upstream is expected to go on serving: it is listed and neither drains nor closes its group. */
+    readonly isExpectedToServe: (id: string) => boolean;
     /** Requests of this process at each upstream that has any. */
     readonly localLoads: () => ReadonlyMap<string, number>;
     /** Upstreams that this process suspects of having failed. */
@@ -71,6 +73,11 @@
             listed(({ service: own, membership, loadedModels }) =>
                 own === service && membership?.state === "open" && membership.rank === 0 && loadedModels.includes(model)
             ),
+        isExpectedToServe: id => {
+            const entry = entries.get(id);
+            const { isDraining = true, membership } = entry?.record ?? {};
+            return entry?.isListed === true && !isDraining && (membership?.state ?? "open") === "open";
+        },
         localLoads: () =>
             new Map([...entries].flatMap(([id, { load }]) => load.own() > 0 ? [[id, load.own()] as const] : [])),
         doubts: nowMs =>
--- a/packages/schema/src/gatewayPeer.ts
+++ b/packages/schema/src/gatewayPeer.ts
@@ -21,6 +21,8 @@
     z.object({ kind: z.literal("clusterState"), configVersion: z.number(), asOf: z.number() }),
     /** Requests the list of gateway processes. */
     z.object({ kind: z.literal("instances") }),
+    /** Requests what is known about prompt segments that end replicas. */
+    z.object({ kind: z.literal("quarantines") }),
     /** Requests that an order be forwarded to an instance that the sender cannot reach. */
     z.object({ kind: z.literal("passOrder"), upstream: UpstreamRecord, order: EngineOrder }),
 ]);
@@ -77,8 +79,58 @@
 });
 export type ProbeReport = z.infer<typeof ProbeReport>;
 
+/** Segments of one prompt, without the last one. */
+const Prompt = z.array(z.string().max(64)).max(64);
+
+/** The end of a replica, and the prompts of requests that it had not begun to answer. */
+export const CrashReport = z.object({
+    /** Identifies the incarnation of the replica. */
+    crash: z.string(),
+    /** The service and the model. */
+    scope: z.string(),
+    ageMs: z.number(),
+    prompts: z.array(Prompt).max(64),
+    /** Segments on which a replica has written since. */
+    cleared: z.array(z.string()).max(512),
+    /** Whether the replica has turned out not to have ended. */
+    isRevoked: z.boolean(),
+});
+export type CrashReport = z.infer<typeof CrashReport>;
+
+/** A segment on which a replica has written without ending: after the crashes named, or at any time if none is. */
+export const SoundReport = z.object({ scope: z.string(), segment: z.string(), crashes: z.array(z.string()).max(128) });
+export type SoundReport = z.infer<typeof SoundReport>;
+
+/** A quarantine: requests whose prompt has all of its segments are held back. */
+export const QuarantineRecord = z.object({
+    scope: z.string(),
+    segments: Prompt,
+    /** Counts how often the quarantine was imposed. */
+    round: z.number().int(),
+    isLifted: z.boolean(),
+    crashes: z.array(z.string()).max(64),
+    ageMs: z.number(),
+    lastCrashAgeMs: z.number(),
+    trials: z.number().int(),
+    nextTrialInMs: z.number(),
+});
+export type QuarantineRecord = z.infer<typeof QuarantineRecord>;
+
+/** What a process knows about prompt segments that end replicas, or what of it has changed. */
+export const QuarantineNews = z.object({
+    kind: z.literal("quarantineNews"),
+    /** The process that sent this message. */
+    instance: z.string(),
+    availabilityZone: z.string(),
+    crashes: z.array(CrashReport).max(128),
+    sound: z.array(SoundReport).max(4_096),
+    quarantines: z.array(QuarantineRecord).max(128),
+});
+export type QuarantineNews = z.infer<typeof QuarantineNews>;
+
 /** A message without an answer. */
 export const GatewayMessage = z.discriminatedUnion("kind", [
+    QuarantineNews,
     GatewayLoads,
     StateSubscription,
     StateNotice,
@@ -98,6 +150,7 @@
     }),
     /** All registered processes, including the sender; empty if it has not read them yet. */
     z.object({ kind: z.literal("instances"), instances: z.array(GatewayInstance) }),
+    z.object({ kind: z.literal("quarantines"), news: QuarantineNews }),
     z.object({ kind: z.literal("orderPassed"), result: z.enum(["accepted", "rejected", "unanswered"]) }),
 ]);
 export type GatewayAnswer = z.infer<typeof GatewayAnswer>;
