Move the run of one attempt out of the exchange

exchange.ts had grown to 386 lines with two jobs: which attempts a request gets, and how one attempt is relayed, paused and watched. The second is now attemptRun.ts. No decision changes; rules, queryOfDeath, refusedConnections and endlessBytes pass (99 tests).

--- a/packages/gateway/src/exchange/admittedRequest.ts
+++ b/packages/gateway/src/exchange/admittedRequest.ts
@@ -2,6 +2,7 @@
 import { type ServingRoute, type ServingService } from "@rattanquay/schema";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type CallerRequest } from "../ports";
+import { type PromptRequest } from "../quarantine";
 
 export type AdmittedRequest = {
     readonly request: IncomingMessage;
@@ -17,3 +18,10 @@
     readonly endByMs: number;
     readonly isRepeatable: boolean;
 };
+
+/** What the quarantine needs to know of a request. */
+export function promptRequestOf(
+    { caller: { requestId, model, promptSegments }, service }: AdmittedRequest,
+): PromptRequest {
+    return { requestId, service: service.service, model, promptSegments };
+}
--- /dev/null
+++ b/packages/gateway/src/exchange/attemptRun.ts
@@ -0,0 +1,147 @@
+/** Runs one attempt of an exchange: relays its answer, waits for callers that read slowly, and watches for stalls. */
+import { detectStall } from "@rattanquay/core";
+import { type ObservedEnd } from "../quarantine";
+import { type AdmittedRequest, promptRequestOf } from "./admittedRequest";
+import { type Attempt, type AttemptEnd, type AttemptOptions, startAttempt } from "./attempt";
+import { type ExchangeDependencies } from "./exchangeDependencies";
+import { priorityOf } from "./loadShedding";
+import { type Placement } from "./placement";
+import { type AttemptResult, type Relay } from "./relays";
+
+export type AttemptRunOptions = {
+    readonly admitted: AdmittedRequest;
+    readonly dependencies: ExchangeDependencies;
+    readonly placement: Placement;
+    readonly relay: Relay;
+    readonly hasExchangeEnded: () => boolean;
+    /** Whether the request could be sent to another upstream if this attempt were aborted now. */
+    readonly canRetryElsewhere: () => boolean;
+    /** Called once, unless the exchange has ended; `answeringMs` is for how long the answer had been arriving. */
+    readonly onResult: (result: AttemptResult, answeringMs: number | undefined) => void;
+};
+
+export type AttemptRun = Pick<Attempt, "abort">;
+
+/** Throws if the request target contains characters that Node cannot send unchanged. */
+export function runAttempt(options: AttemptRunOptions): AttemptRun {
+    const { admitted, dependencies, placement, relay, hasExchangeEnded, onResult } = options;
+    const { timer } = dependencies.context;
+    const reader = relay.begin();
+    const progress = { hasHead: false, lastBytesAtMs: timer.nowMs(), isPaused: false };
+    let firstBytesAtMs: number | undefined;
+    const abortFor = (reason: string | undefined): void => {
+        if (reason !== undefined) {
+            attempt.abort(reason);
+        }
+    };
+    const attempt = startAttempt(attemptOptions(options), {
+        onHead: (head, answer) => {
+            progress.hasHead = true;
+            abortFor(reader.onHead(head, answer));
+        },
+        onBytes: bytes => {
+            progress.lastBytesAtMs = timer.nowMs();
+            if (firstBytesAtMs === undefined) {
+                firstBytesAtMs = progress.lastBytesAtMs;
+                placement.noteFirstEvent(progress.lastBytesAtMs - attempt.startedAtMs);
+            }
+            if (!hasExchangeEnded()) {
+                const abortReason = reader.onBytes(bytes);
+                if (reader.hasOutput()) {
+                    watch.noteOutput();
+                }
+                abortFor(abortReason);
+            }
+            return pauseForCaller();
+        },
+        onEnd: end => {
+            cancelStallWatch();
+            if (hasExchangeEnded()) {
+                watch.noteEnd("other");
+                return;
+            }
+            const result = reader.onEnd(end);
+            watch.noteEnd(observeEnd(end, result));
+            onResult(result, firstBytesAtMs === undefined ? undefined : timer.nowMs() - firstBytesAtMs);
+        },
+    });
+    /** Waits until a caller that reads slowly has taken what is buffered for it. */
+    const pauseForCaller = (): boolean => {
+        if (!admitted.response.writableNeedDrain || progress.isPaused) {
+            return !progress.isPaused;
+        }
+        progress.isPaused = true;
+        admitted.response.once("drain", () => {
+            progress.isPaused = false;
+            progress.lastBytesAtMs = timer.nowMs();
+            attempt.resume();
+        });
+        return false;
+    };
+    const watch = dependencies.quarantine.watch(promptRequestOf(admitted), placement.upstream, attempt.abort);
+    const cancelStallWatch = dependencies.stallWatch.add(
+        nowMs => isStalled(options, attempt, progress, nowMs),
+        () => attempt.abort("nothing came from the upstream"),
+    );
+    return attempt;
+}
+
+type Progress = { readonly hasHead: boolean; readonly lastBytesAtMs: number; readonly isPaused: boolean };
+
+function isStalled(
+    { admitted: { service, route }, placement, canRetryElsewhere }: AttemptRunOptions,
+    { startedAtMs }: Attempt,
+    { hasHead, lastBytesAtMs, isPaused }: Progress,
+    nowMs: number,
+): boolean {
+    if (isPaused) {
+        return false;
+    }
+    const { load } = placement.upstream;
+    const verdict = detectStall({
+        isEngine: service.engine !== undefined,
+        objectiveMs: route.objectiveMs,
+        longestPauseMs: route.longestPauseMs ?? 0,
+        predictedMs: placement.predictedMs,
+        sentAtMs: startedAtMs,
+        hasHead,
+        lastBytesAtMs,
+        upstreamProgressAtMs: load.progressAtMs(),
+    }, nowMs);
+    if (verdict !== "moves") {
+        load.noteUnresponsive(nowMs);
+    }
+    return verdict === "stalled" && canRetryElsewhere();
+}
+
+function attemptOptions({ admitted, dependencies, placement, relay }: AttemptRunOptions): AttemptOptions {
+    const { request, body, caller, workspace, endByMs } = admitted;
+    const { timer, ports: { requestCodec } } = dependencies.context;
+    const hasBody = request.headers["content-length"] !== undefined || body.length > 0;
+    return {
+        upstream: placement.upstream,
+        method: request.method ?? "GET",
+        target: request.url ?? "/",
+        headers: requestCodec.upstreamHeaders(request, {
+            upstreamId: placement.upstream.record.id,
+            workspace,
+            deadlineMs: Math.max(1, Math.floor(endByMs - timer.nowMs())),
+            priority: priorityOf(admitted, placement),
+            lastEventId: relay.lastEventId(),
+            bodyBytes: hasBody ? body.length : undefined,
+        }),
+        body,
+        requestId: caller.requestId,
+        wire: requestCodec,
+        timer,
+    };
+}
+
+/** Distinguishes upstreams that broke an answer off from attempts that this process or the caller ended. */
+function observeEnd(end: AttemptEnd, result: AttemptResult): ObservedEnd {
+    if (result.kind === "answered") {
+        return "answered";
+    }
+    const isInsideEvent = end.kind === "whole" && result.kind === "short";
+    return isInsideEvent || (end.kind === "cut" && !end.isAborted) ? "brokenOff" : "other";
+}
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -9,18 +9,16 @@
     type AttemptFailure,
     consumesRetryBudget,
     countAttempt,
-    detectStall,
     endingOfAttempts,
     mayRetryRequest,
     noAttemptsYet,
 } from "@rattanquay/core";
 import { type Ending } from "@rattanquay/schema";
 import { type Cancel } from "@rattanquay/timer";
-import { type ObservedEnd, type PromptRequest } from "../quarantine";
-import { type AdmittedRequest } from "./admittedRequest";
-import { type Attempt, type AttemptEnd, type AttemptEvents, type AttemptOptions, startAttempt } from "./attempt";
+import { type AdmittedRequest, promptRequestOf } from "./admittedRequest";
+import { type AttemptRun, runAttempt } from "./attemptRun";
 import { type ExchangeDependencies } from "./exchangeDependencies";
-import { isTooLate, priorityOf, retryAfterMs } from "./loadShedding";
+import { isTooLate, retryAfterMs } from "./loadShedding";
 import { choosePlacement, type Placement } from "./placement";
 import { type Refusal, refusals, refuse } from "./refusals";
 import { type AttemptResult, type BufferedAnswer, type Relay, relays, sendBuffered } from "./relays";
@@ -60,8 +58,7 @@
     private sends: AttemptCounts = noAttemptsYet;
     /** An error response of an upstream, which the caller gets if no other attempt succeeds. */
     private errorAnswer: BufferedAnswer | undefined;
-    private currentAttempt: Attempt | undefined;
-    private cancelStallWatch: Cancel = () => undefined;
+    private currentAttempt: AttemptRun | undefined;
     private cancelTimeout: Cancel = () => undefined;
     private hasEnded = false;
     private firstByteMs: number | undefined;
@@ -104,7 +101,6 @@
         }
         this.hasEnded = true;
         this.cancelTimeout();
-        this.cancelStallWatch();
         this.currentAttempt?.abort("the request has ended");
         this.currentAttempt = undefined;
         const { triedUpstreams, firstByteMs, predictedMs } = this;
@@ -186,115 +182,18 @@
 
     private send(placement: Placement): void {
         const { admitted, dependencies, relay } = this;
-        const { timer } = dependencies.context;
-        const reader = relay.begin();
-        const { upstream } = placement;
-        let hasHead = false;
-        let firstBytesAtMs: number | undefined;
-        let lastBytesAtMs = timer.nowMs();
-        let isPaused = false;
-        const { response } = admitted;
-        /** Waits until a caller that reads slowly has taken what is buffered for it. */
-        const pauseForCaller = (): boolean => {
-            if (!response.writableNeedDrain || isPaused) {
-                return !isPaused;
-            }
-            isPaused = true;
-            response.once("drain", () => {
-                isPaused = false;
-                lastBytesAtMs = timer.nowMs();
-                attempt.resume();
-            });
-            return false;
-        };
-        const abortFor = (reason: string | undefined): void => {
-            if (reason !== undefined) {
-                attempt.abort(reason);
-            }
-        };
-        const events: AttemptEvents = {
-            onHead: (head, answer) => {
-                hasHead = true;
-                abortFor(reader.onHead(head, answer));
-            },
-            onBytes: bytes => {
-                lastBytesAtMs = timer.nowMs();
-                if (firstBytesAtMs === undefined) {
-                    firstBytesAtMs = lastBytesAtMs;
-                    placement.noteFirstEvent(lastBytesAtMs - attempt.startedAtMs);
-                }
-                if (!this.hasEnded) {
-                    const abortReason = reader.onBytes(bytes);
-                    if (reader.hasOutput()) {
-                        watch.noteOutput();
-                    }
-                    abortFor(abortReason);
-                }
-                return pauseForCaller();
-            },
-            onEnd: end => {
-                this.cancelStallWatch();
-                if (this.hasEnded) {
-                    watch.noteEnd("other");
-                    return;
-                }
+        this.currentAttempt = runAttempt({
+            admitted,
+            dependencies,
+            placement,
+            relay,
+            hasExchangeEnded: () => this.hasEnded,
+            canRetryElsewhere: () => this.canRetryElsewhere(),
+            onResult: (result, answeringMs) => {
                 this.currentAttempt = undefined;
-                const answeringMs = firstBytesAtMs === undefined ? undefined : timer.nowMs() - firstBytesAtMs;
-                const result = reader.onEnd(end);
-                watch.noteEnd(observeEnd(end, result));
                 this.handleResult(result, placement, answeringMs);
             },
-        };
-        const attempt = startAttempt(this.optionsFor(placement), events);
-        const watch = dependencies.quarantine.watch(promptRequestOf(admitted), upstream, attempt.abort);
-        this.currentAttempt = attempt;
-        const isStalled = (nowMs: number): boolean => {
-            if (isPaused) {
-                return false;
-            }
-            const verdict = detectStall({
-                isEngine: admitted.service.engine !== undefined,
-                objectiveMs: admitted.route.objectiveMs,
-                longestPauseMs: admitted.route.longestPauseMs ?? 0,
-                predictedMs: placement.predictedMs,
-                sentAtMs: attempt.startedAtMs,
-                hasHead,
-                lastBytesAtMs,
-                upstreamProgressAtMs: upstream.load.progressAtMs(),
-            }, nowMs);
-            if (verdict !== "moves") {
-                upstream.load.noteUnresponsive(nowMs);
-            }
-            return verdict === "stalled" && this.canRetryElsewhere();
-        };
-        this.cancelStallWatch = dependencies.stallWatch.add(
-            isStalled,
-            () => attempt.abort("nothing came from the upstream"),
-        );
-    }
-
-    private optionsFor(placement: Placement): AttemptOptions {
-        const { admitted, dependencies, relay } = this;
-        const { request, body, caller, workspace, endByMs } = admitted;
-        const { timer, ports: { requestCodec } } = dependencies.context;
-        const hasBody = request.headers["content-length"] !== undefined || body.length > 0;
-        return {
-            upstream: placement.upstream,
-            method: request.method ?? "GET",
-            target: request.url ?? "/",
-            headers: requestCodec.upstreamHeaders(request, {
-                upstreamId: placement.upstream.record.id,
-                workspace,
-                deadlineMs: Math.max(1, Math.floor(endByMs - timer.nowMs())),
-                priority: priorityOf(admitted, placement),
-                lastEventId: relay.lastEventId(),
-                bodyBytes: hasBody ? body.length : undefined,
-            }),
-            body,
-            requestId: caller.requestId,
-            wire: requestCodec,
-            timer,
-        };
+        });
     }
 
     /** Whether the request could be retried at another upstream if the current attempt were aborted now. */
@@ -365,19 +264,6 @@
     }
 }
 
-function promptRequestOf({ caller: { requestId, model, promptSegments }, service }: AdmittedRequest): PromptRequest {
-    return { requestId, service: service.service, model, promptSegments };
-}
-
-/** Distinguishes upstreams that broke an answer off from attempts that this process or the caller ended. */
-function observeEnd(end: AttemptEnd, result: AttemptResult): ObservedEnd {
-    if (result.kind === "answered") {
-        return "answered";
-    }
-    const isInsideEvent = end.kind === "whole" && result.kind === "short";
-    return isInsideEvent || (end.kind === "cut" && !end.isAborted) ? "brokenOff" : "other";
-}
-
 /** Undefined for requests without a prompt, so that their log lines have no empty list. */
 function segmentsForLog({ caller: { promptSegments } }: AdmittedRequest): readonly string[] | undefined {
     return promptSegments.length === 0 ? undefined : promptSegments.slice(0, maxLoggedSegments);
