Ask a peer for quarantines as soon as a process has started

The first request came after 0.4 s, in which a process that had just started could send a request on whose segment all others held back.

--- a/packages/gateway/src/peers/stateSync.ts
+++ b/packages/gateway/src/peers/stateSync.ts
@@ -50,18 +50,22 @@
         }
         hasAskedForQuarantines = await quarantineExchange.requestFrom(address) || hasAskedForQuarantines;
     };
-    const cancels = [syncClusterState, syncQuarantines].map(sync => {
-        let syncing = false;
-        return timer.every(syncEveryMs, () => {
-            if (!syncing) {
-                syncing = true;
-                void sync().finally(() => syncing = false);
-            }
-        });
-    });
+    const cancels = [syncClusterState, syncQuarantines].map(sync => timer.every(syncEveryMs, runSingly(sync)));
+    void syncQuarantines();
     return () => cancels.forEach(cancel => cancel());
 }
 
+/** Returns a function that runs a task unless its last run has not ended. */
+function runSingly(task: () => Promise<void>): () => void {
+    let isRunning = false;
+    return () => {
+        if (!isRunning) {
+            isRunning = true;
+            void task().finally(() => isRunning = false);
+        }
+    };
+}
+
 /** Chooses a peer, preferring the same zone, or a seed while no peer is known. */
 function choosePeerAddress({ peers, seeds }: PeerDirectory, zone: string, random: () => number): string | undefined {
     const sameZonePeers = peers().filter(({ availabilityZone }) => availabilityZone === zone);
