--- a/packages/core/src/quarantine/crashEvidence.ts
+++ b/packages/core/src/quarantine/crashEvidence.ts
@@ -25,7 +25,7 @@
     readonly accusing: (scope: string, segment: string, beforeMs: number) => readonly string[];
     readonly standing: (scope: string, nowMs: number) => readonly StandingCrash[];
     readonly scopes: () => readonly string[];
-    readonly atMs: (crash: string) => number | undefined;
+    /** Crashes that were seen within the last `withinMs` and not taken back. */
     readonly recent: (nowMs: number, withinMs: number) => readonly string[];
     readonly reports: (nowMs: number) => readonly CrashReport[];
 };
@@ -112,7 +112,6 @@
                 return prompts.length === 0 ? [] : [{ crash: entry.crash, atMs: entry.atMs, prompts }];
             }),
         scopes: () => [...new Set([...entries.values()].map(({ scope }) => scope))],
-        atMs: crash => entries.get(crash)?.atMs,
         recent: (nowMs, withinMs) =>
             [...entries.values()].flatMap(({ crash, atMs, isRevoked }) =>
                 !isRevoked && nowMs - atMs < withinMs ? [crash] : []
--- a/packages/core/src/quarantine/quarantineBook.ts
+++ b/packages/core/src/quarantine/quarantineBook.ts
@@ -23,7 +23,7 @@
 };
 
 export type QuarantineBook = {
-    /** The quarantine that holds back a prompt. */
+    /** The quarantine that holds back a prompt, if there is one. */
     readonly find: (scope: string, prompt: readonly string[]) => QuarantineEntry | undefined;
     readonly active: () => readonly QuarantineEntry[];
     readonly impose: (
