--- a/packages/cli/src/__tests__/explain.test.ts
+++ b/packages/cli/src/__tests__/explain.test.ts
@@ -85,9 +85,15 @@
         line(3, "edge-2", "crashSuspected", { upstream: "i-1", crash: "i-1@7", segments: ["5c1e"] }),
         line(4, "edge-3", "crashSuspected", { upstream: "i-2", crash: "i-2@8", segments: ["5c1e"] }),
         line(4, "edge-3", "crashSuspected", { upstream: "i-3", crash: "i-3@9", segments: ["77aa"] }),
+        line(4, "edge-4", "crashSuspected", { upstream: "another request's", crash: "i-2@8", segments: ["77aa"] }),
         line(5, "edge-1", "quarantineImposed", { quarantine, crashes: ["i-1@7", "i-2@8"] }),
         line(5, "edge-1", "quarantineImposed", { quarantine: "drafts/large:77aa" }),
-        line(6, "edge-1", "quarantineApplied", { requestId: "r7", quarantine, crashes: ["i-1@7", "i-2@8"] }),
+        line(6, "edge-1", "quarantineApplied", {
+            requestId: "r7",
+            quarantine,
+            segments: ["5c1e"],
+            crashes: ["i-1@7", "i-2@8"],
+        }),
     ].join("\n");
     const [applied] = requestTimeline("r7", parseLogLines(text));
     assert.equal(
--- a/packages/cli/src/explain/timeline.ts
+++ b/packages/cli/src/explain/timeline.ts
@@ -69,7 +69,7 @@
     if (fleetEvents.has(event)) {
         return event;
     }
-    if (crashEvents.has(event) && isListed(line.fields["crashes"], fields["crash"])) {
+    if (crashEvents.has(event) && isEvidence(fields, line.fields)) {
         return `crash ${String(fields["crash"])}`;
     }
     if (instance !== line.instance) {
@@ -85,6 +85,14 @@
     return upstreamStateEvents.has(event) && upstreams.has(upstream) ? `upstream ${upstream}` : undefined;
 }
 
+/** Whether a crash is one that a quarantine rests on; reports of its other requests are left out. */
+function isEvidence(crash: LogLine["fields"], quarantine: LogLine["fields"]): boolean {
+    const segments = crash["segments"] ?? quarantine["segments"];
+    return isListed(quarantine["crashes"], crash["crash"])
+        && (!Array.isArray(quarantine["segments"])
+            || quarantine["segments"].every(segment => isListed(segments, segment)));
+}
+
 function isListed(list: unknown, value: unknown): boolean {
     return Array.isArray(list) && list.includes(value);
 }
