Keep exchanges between processes from prolonging suspicions, and new processes from raising them

- A suspicion could last without end: each exchange of a record took the later of two times of the next trial and of the last crash, and a due trial was sent as 'now', so that gossip moved both on by its own latency.
Times are now taken over only with a new crash or trial, and a due trial is sent as such.
- A trial of one quarantine let a request through that another one held back: only the first that matched was asked.
All that match are asked now.
- A report of an old crash, or of one that was taken back, postponed the next trial like a new one.
Its age counts now.
- A process new to the fleet accused segments that all others knew to be sound, since they report that once in 30 s: its answer now brings what is known to be sound, and reports are repeated after a second.
- With more crashes than are remembered, processes whose messages crossed exchanged them without end.
Dropped ones are remembered by name.
- 84 of 195 processes reported the same sound segment when links were slow (40 ms): the wait for it was uniform.
Processes that only heard of a crash leave the decision to those that saw it, unless these are gone.

--- a/packages/core/src/quarantine/__tests__/fleet.ts
+++ b/packages/core/src/quarantine/__tests__/fleet.ts
@@ -6,7 +6,6 @@
 export const scope = "drafts/large";
 const stepMs = 25;
 const pulseMs = 250;
-const deliveryMs = 10;
 
 export type FleetProcess = {
     readonly quarantine: SegmentQuarantine;
@@ -18,6 +17,8 @@
 export type Fleet = {
     readonly processes: readonly FleetProcess[];
     readonly nowMs: () => number;
+    /** How often any process has sent all others a quarantine, and how often a report that a segment is sound. */
+    readonly announced: () => { readonly quarantines: number; readonly sound: number };
     readonly advance: (durationMs: number) => void;
     /** Reports that an upstream ended with a waiting request of one process. */
     readonly crash: (process: number, crash: string, ...segments: readonly string[]) => void;
@@ -28,11 +29,12 @@
     readonly resume: (process: number) => void;
 };
 
-export function makeFleet(size: number): Fleet {
+export function makeFleet(size: number, deliveryMs = 10): Fleet {
     const timer = new VirtualTimer();
     const generator = xoroshiro128plus(11);
     const random = (): number => unsafeUniformIntDistribution(0, 999_999, generator) / 1_000_000;
     const processes: FleetProcess[] = [];
+    const announced = { quarantines: 0, sound: 0 };
     const inboxes = new Map<FleetProcess, QuarantineContent[]>();
     const deliver = (to: FleetProcess, content: QuarantineContent): void => {
         timer.after(deliveryMs, () => {
@@ -45,6 +47,8 @@
     };
     const broadcast = (from: FleetProcess): void => {
         const content = from.quarantine.step(timer.nowMs());
+        announced.quarantines += content.quarantines.length > 0 ? 1 : 0;
+        announced.sound += content.sound.length > 0 ? 1 : 0;
         if (content.crashes.length + content.sound.length + content.quarantines.length > 0) {
             processes.filter(to => to !== from).forEach(to => deliver(to, content));
         }
@@ -67,6 +71,7 @@
     return {
         processes,
         nowMs: timer.nowMs,
+        announced: () => announced,
         advance: durationMs => timer.advance(durationMs),
         crash: (process, crash, ...segments) =>
             processes[process]!.quarantine.noteCrash({ crash, scope, prompts: [segments] }, timer.nowMs()),
--- a/packages/core/src/quarantine/crashEvidence.ts
+++ b/packages/core/src/quarantine/crashEvidence.ts
@@ -41,6 +41,7 @@
 
 const maxAgeMs = 600_000;
 const maxCrashes = 64;
+const maxForgotten = 2_048;
 const maxPrompts = 48;
 const maxSegments = 16;
 const maxCleared = 256;
@@ -49,6 +50,15 @@
 
 export function makeCrashEvidence(): CrashEvidence {
     const entries = new Map<string, Entry>();
+    /** Peers may still report a crash that has been dropped here, which must not displace another one for it. */
+    const forgotten = new Set<string>();
+    const forget = (crash: string): void => {
+        entries.delete(crash);
+        forgotten.add(crash);
+        if (forgotten.size > maxForgotten) {
+            forgotten.delete(forgotten.values().next().value!);
+        }
+    };
     const standingPrompts = ({ prompts, cleared, isRevoked }: Entry): readonly (readonly string[])[] => {
         const left = new Map<string, readonly string[]>();
         for (const prompt of isRevoked ? [] : prompts.values()) {
@@ -60,12 +70,15 @@
         return [...left.values()];
     };
     const add: CrashEvidence["add"] = ({ crash, scope, ageMs, prompts, cleared, isRevoked }, nowMs) => {
+        if (forgotten.has(crash)) {
+            return false;
+        }
         const isNew = !entries.has(crash);
         const entry = entries.get(crash)
             ?? { crash, scope, atMs: nowMs - ageMs, prompts: new Map(), cleared: new Set<string>(), isRevoked: false };
         entries.set(crash, entry);
         if (entries.size > maxCrashes) {
-            entries.delete(entries.keys().next().value!);
+            forget(entries.keys().next().value!);
         }
         const sizeBefore = entry.prompts.size + entry.cleared.size;
         for (const prompt of prompts) {
--- a/packages/core/src/quarantine/quarantineBook.ts
+++ b/packages/core/src/quarantine/quarantineBook.ts
@@ -23,8 +23,8 @@
 };
 
 export type QuarantineBook = {
-    /** The quarantine that holds back a prompt, if there is one. */
-    readonly find: (scope: string, prompt: readonly string[]) => QuarantineEntry | undefined;
+    /** The quarantines in force that hold back any of some prompts. */
+    readonly matching: (scope: string, prompts: readonly (readonly string[])[]) => readonly QuarantineEntry[];
     readonly active: () => readonly QuarantineEntry[];
     readonly impose: (
         scope: string,
@@ -33,7 +33,7 @@
         nowMs: number,
     ) => QuarantineEntry;
     /** Records one more crash under a quarantine. Returns whether it was not known. */
-    readonly addCrash: (id: string, crash: string, nowMs: number) => boolean;
+    readonly addCrash: (id: string, crash: string, atMs: number) => boolean;
     readonly beginTrial: (id: string, nowMs: number) => void;
     readonly lift: (id: string) => void;
     /** Adopts a peer's record. Returns whether it says anything new. */
@@ -76,7 +76,10 @@
     };
     const active = (): readonly QuarantineEntry[] => [...entries.values()].filter(({ isLifted }) => !isLifted);
     return {
-        find: (scope, prompt) => active().find(entry => entry.scope === scope && containsAll(prompt, entry.segments)),
+        matching: (scope, prompts) =>
+            active().filter(entry =>
+                entry.scope === scope && prompts.some(prompt => containsAll(prompt, entry.segments))
+            ),
         active,
         impose: (scope, segments, crashes, nowMs) => {
             const id = quarantineId(scope, segments);
@@ -95,14 +98,14 @@
             set(entry);
             return entry;
         },
-        addCrash: (id, crash, nowMs) => {
+        addCrash: (id, crash, atMs) => {
             if (entries.get(id)?.crashes.includes(crash) !== false) {
                 return false;
             }
-            update(id, ({ crashes, trials, nextTrialMs }) => ({
+            update(id, ({ crashes, trials, lastCrashMs, nextTrialMs }) => ({
                 crashes: [...crashes, crash].slice(-maxCrashes),
-                lastCrashMs: nowMs,
-                nextTrialMs: Math.max(nextTrialMs, nowMs + trialIntervalMs(trials)),
+                lastCrashMs: Math.max(lastCrashMs, atMs),
+                nextTrialMs: Math.max(nextTrialMs, atMs + trialIntervalMs(trials)),
             }));
             return true;
         },
@@ -120,15 +123,21 @@
             if (received.round < known.round || known.isLifted) {
                 return false;
             }
-            const crashes = [...new Set([...known.crashes, ...received.crashes])].slice(-maxCrashes);
-            const trials = Math.max(known.trials, received.trials);
-            const nextTrialMs = Math.max(
-                ...[known, received].flatMap(entry => entry.trials === trials ? [entry.nextTrialMs] : []),
-            );
-            const isNew = received.isLifted || trials > known.trials || crashes.length > known.crashes.length;
-            const lastCrashMs = Math.max(known.lastCrashMs, received.lastCrashMs);
-            set({ ...known, isLifted: received.isLifted, crashes, trials, nextTrialMs, lastCrashMs });
-            return isNew;
+            // Times are taken over only with a new fact: each exchange makes them a little later.
+            const newCrashes = received.crashes.filter(crash => !known.crashes.includes(crash));
+            if (!received.isLifted && received.trials <= known.trials && newCrashes.length === 0) {
+                return false;
+            }
+            const isLater = received.trials >= known.trials;
+            set({
+                ...known,
+                isLifted: received.isLifted,
+                crashes: [...known.crashes, ...newCrashes].slice(-maxCrashes),
+                trials: Math.max(known.trials, received.trials),
+                nextTrialMs: isLater ? Math.max(known.nextTrialMs, received.nextTrialMs) : known.nextTrialMs,
+                lastCrashMs: Math.max(known.lastCrashMs, received.lastCrashMs),
+            });
+            return true;
         },
         expire: nowMs => {
             const expired = [...entries.values()].filter(({ lastCrashMs }) => nowMs - lastCrashMs > maxIdleMs);
@@ -147,7 +156,7 @@
                 ageMs: Math.max(0, Math.round(nowMs - sinceMs)),
                 lastCrashAgeMs: Math.max(0, Math.round(nowMs - lastCrashMs)),
                 trials,
-                nextTrialInMs: Math.max(0, Math.round(nextTrialMs - nowMs)),
+                nextTrialInMs: Math.round(nextTrialMs - nowMs),
             })),
     };
 }
--- a/packages/core/src/quarantine/segmentQuarantine.ts
+++ b/packages/core/src/quarantine/segmentQuarantine.ts
@@ -41,9 +41,9 @@
 /** Such reports are spread over this time for each process that could send one, so that most need not be sent. */
 const spreadPerProcessMs = 2;
 const maxSpreadMs = 80;
-/** After an interval between pulses that is longer than this, the process was suspended. */
+/** After an interval between pulses that is longer than this, the process was suspended; so it is at its start. */
 const suspendedAfterMs = 1_500;
-/** By then, a process that was suspended has received what its peers know. */
+/** By then, such a process has received what its peers know, and may know that another one has begun a trial. */
 const trialHoldMs = 1_500;
 /** Processes are ready for a trial at different moments within this time, so that one begins it and the others know. */
 const trialSpreadMs = 1_000;
@@ -65,19 +65,22 @@
     private holdTrialsUntilMs = -Infinity;
 
     constructor(private readonly options: SegmentQuarantineOptions) {
-        this.sound = makeSoundReports(() => options.random() * this.reportSpreadMs());
+        this.sound = makeSoundReports(() => this.reportWaitMs());
         this.trialDelayMs = options.random() * trialSpreadMs;
     }
 
     /** Decides about a request that is about to be sent. */
     check(scope: string, prompt: readonly string[], nowMs: number): QuarantineVerdict {
-        const quarantine = prompt.length === 0 ? undefined : this.book.find(scope, prompt);
+        const matching = this.book.matching(scope, [prompt]);
+        const [quarantine] = [...matching].sort((a, b) => b.nextTrialMs - a.nextTrialMs);
         if (quarantine === undefined) {
             return { kind: "allowed" };
         }
         if (nowMs >= Math.max(quarantine.nextTrialMs + this.trialDelayMs, this.holdTrialsUntilMs)) {
-            this.book.beginTrial(quarantine.id, nowMs);
-            this.announce(quarantine.id);
+            matching.forEach(({ id }) => {
+                this.book.beginTrial(id, nowMs);
+                this.announce(id);
+            });
             return { kind: "trial", quarantine };
         }
         const untilTrialMs = Math.max(0, quarantine.nextTrialMs + trialSpreadMs - nowMs);
@@ -89,7 +92,7 @@
     noteCrash({ crash, scope, prompts }: OwnCrash, nowMs: number): void {
         const shared = prompts.filter(prompt => prompt.length > 0).map(prompt => [...prompt]);
         const report = { crash, scope, ageMs: 0, prompts: shared, cleared: [], isRevoked: false };
-        if (shared.length > 0 && this.addCrash(report, nowMs)) {
+        if (shared.length > 0 && this.addCrash(report, "own", nowMs)) {
             this.changedCrashes.add(crash);
         }
     }
@@ -105,7 +108,7 @@
                 this.sound.schedule({ scope, segment, crashes: [...crashes] }, nowMs);
             }
         }
-        for (const quarantine of this.matching(scope, [prompt])) {
+        for (const quarantine of this.book.matching(scope, [prompt])) {
             if (quarantine.lastCrashMs < beganAtMs) {
                 this.book.lift(quarantine.id);
                 this.announce(quarantine.id);
@@ -127,7 +130,7 @@
         const news = [
             ...sound.map(report => this.addSound(report)),
             ...quarantines.map(record => this.mergeRecord(record, nowMs)),
-            ...crashes.map(report => this.addCrash(report, nowMs)),
+            ...crashes.map(report => this.addCrash(report, "peer", nowMs)),
         ];
         return news.includes(true);
     }
@@ -138,12 +141,14 @@
             this.decideAtMs = undefined;
             this.decide(nowMs);
         }
-        const { crashes, quarantines } = this.snapshot(nowMs);
+        const { changedCrashes, changedQuarantines } = this;
+        const crashes = changedCrashes.size === 0 ? [] : this.evidence.reports(nowMs);
+        const quarantines = changedQuarantines.size === 0 ? [] : this.book.records(nowMs);
         const content = {
-            crashes: crashes.filter(({ crash }) => this.changedCrashes.has(crash)),
+            crashes: crashes.filter(({ crash }) => changedCrashes.has(crash)),
             sound: this.sound.takeDue(nowMs),
             quarantines: quarantines.filter(({ scope, segments }) =>
-                this.changedQuarantines.has(quarantineId(scope, segments))
+                changedQuarantines.has(quarantineId(scope, segments))
             ),
         };
         this.changedCrashes.clear();
@@ -172,7 +177,8 @@
 
     /** Everything that a process needs that knows nothing. */
     snapshot(nowMs: number): QuarantineContent {
-        return { crashes: [...this.evidence.reports(nowMs)], sound: [], quarantines: [...this.book.records(nowMs)] };
+        const crashes = [...this.evidence.reports(nowMs)];
+        return { crashes, sound: this.sound.knownAmong(crashes), quarantines: [...this.book.records(nowMs)] };
     }
 
     /** Grows with each change of the snapshot. */
@@ -188,6 +194,16 @@
         return this.evidence.recent(nowMs, withinMs);
     }
 
+    /**
+     * How long a report waits that all processes could send. Few wait briefly and most for long, so that a few reports
+     * are sent before the first one has reached the others, however many they are.
+     */
+    private reportWaitMs(): number {
+        const { random, processes } = this.options;
+        const share = 1 + Math.log(random()) / Math.log(Math.max(2, processes()));
+        return this.reportSpreadMs() * Math.max(0, share);
+    }
+
     private reportSpreadMs(): number {
         return Math.min(maxSpreadMs, spreadPerProcessMs * this.options.processes());
     }
@@ -197,24 +213,22 @@
         this.snapshotVersion++;
     }
 
-    private matching(scope: string, prompts: readonly (readonly string[])[]): readonly QuarantineEntry[] {
-        return this.book.active().filter(entry =>
-            entry.scope === scope && prompts.some(prompt => containsAll(prompt, entry.segments))
-        );
-    }
-
-    private addCrash(report: CrashReport, nowMs: number): boolean {
+    private addCrash(report: CrashReport, origin: "own" | "peer", nowMs: number): boolean {
+        const { random } = this.options;
         if (!this.evidence.add(report, nowMs)) {
             return false;
         }
         this.snapshotVersion++;
-        for (const { id } of this.matching(report.scope, report.prompts)) {
-            if (this.book.addCrash(id, report.crash, nowMs)) {
+        for (const { id } of report.isRevoked ? [] : this.book.matching(report.scope, report.prompts)) {
+            if (this.book.addCrash(id, report.crash, nowMs - report.ageMs)) {
                 this.announce(id);
             }
         }
-        this.sound.scheduleKnown(report, nowMs);
-        this.decideAtMs ??= nowMs + reportDelayMs + this.reportSpreadMs();
+        this.sound.scheduleOwn(report, nowMs);
+        const waitMs = reportDelayMs + this.reportSpreadMs();
+        // Those that saw the crash decide first; the others need not, unless the first have gone.
+        const decideAtMs = nowMs + (origin === "own" ? waitMs : 2 * waitMs + random() * waitMs);
+        this.decideAtMs = Math.min(this.decideAtMs ?? Infinity, decideAtMs);
         return true;
     }
 
--- a/packages/core/src/quarantine/soundReports.ts
+++ b/packages/core/src/quarantine/soundReports.ts
@@ -13,16 +13,18 @@
     /** Whether upstreams are known to have written on a segment at any time. */
     readonly isKnown: (scope: string, segment: string) => boolean;
     readonly schedule: (report: SoundReport, nowMs: number) => void;
+    /** Reports that the segments of some crashes are known to be sound, for a process that knows nothing. */
+    readonly knownAmong: (crashes: readonly CrashReport[]) => SoundReport[];
     /** Schedules reports about the segments of a crash that this process has seen to be sound before. */
-    readonly scheduleKnown: (crash: CrashReport, nowMs: number) => void;
+    readonly scheduleOwn: (crash: CrashReport, nowMs: number) => void;
     /** Adopts a peer's report. Returns whether the segment was not known to be sound. */
     readonly receive: (report: SoundReport) => boolean;
     readonly takeDue: (nowMs: number) => SoundReport[];
     readonly isPending: () => boolean;
 };
 
-/** A segment is not reported as known to be sound again within this time. */
-const reportEveryMs = 30_000;
+/** A segment is not reported again within this time, in which even a process that has just started has received it. */
+const reportEveryMs = 1_000;
 const maxRemembered = 1_024;
 
 type PendingReport = { readonly report: SoundReport; readonly dueMs: number };
@@ -30,11 +32,11 @@
 /** `delayMs` returns how long a report waits. */
 export function makeSoundReports(delayMs: () => number): SoundReports {
     const own = makeRecentlySound();
-    const known = makeRecentlySound();
+    const sound = makeRecentlySound();
     const reportedAtMs = new Map<string, number>();
     let pending: PendingReport[] = [];
 
-    const mayReportKnown = (scope: string, segment: string, nowMs: number): boolean => {
+    const mayReport = (scope: string, segment: string, nowMs: number): boolean => {
         const key = `${scope} ${segment}`;
         if (nowMs - (reportedAtMs.get(key) ?? -Infinity) <= reportEveryMs) {
             return false;
@@ -51,20 +53,28 @@
     return {
         noteOwn: (scope, segment) => {
             own.note(scope, segment);
-            known.note(scope, segment);
+            sound.note(scope, segment);
         },
-        isKnown: known.has,
+        isKnown: sound.has,
         schedule,
-        scheduleKnown: ({ scope, prompts }, nowMs) => {
+        knownAmong: crashes => {
+            const segments = crashes.flatMap(({ scope, prompts }) =>
+                prompts.flat().map(segment => ({ scope, segment }))
+            );
+            const known = segments.filter(({ scope, segment }) => sound.has(scope, segment));
+            const unique = new Map(known.map(item => [`${item.scope} ${item.segment}`, item]));
+            return [...unique.values()].map(item => ({ ...item, crashes: [] }));
+        },
+        scheduleOwn: ({ scope, prompts }, nowMs) => {
             for (const segment of new Set(prompts.flat())) {
-                if (own.has(scope, segment) && mayReportKnown(scope, segment, nowMs)) {
+                if (own.has(scope, segment) && mayReport(scope, segment, nowMs)) {
                     schedule({ scope, segment, crashes: [] }, nowMs);
                 }
             }
         },
         receive: received => {
-            const isNew = !known.has(received.scope, received.segment);
-            known.note(received.scope, received.segment);
+            const isNew = !sound.has(received.scope, received.segment);
+            sound.note(received.scope, received.segment);
             pending = pending.filter(({ report }) => !saysAll(received, report));
             return isNew;
         },
--- a/packages/schema/src/gatewayPeer.ts
+++ b/packages/schema/src/gatewayPeer.ts
@@ -112,6 +112,7 @@
     ageMs: z.number(),
     lastCrashAgeMs: z.number(),
     trials: z.number().int(),
+    /** Negative if the next trial is due. */
     nextTrialInMs: z.number(),
 });
 export type QuarantineRecord = z.infer<typeof QuarantineRecord>;
