Name upstreams as such in the quarantine, and a header of the chat interface unlike one of the users' wire

Two names stood for one concept in the quarantine's comments, replica and upstream; the code around it says upstream. x-attempt-id of the chat interface contained a name of the users' wire, by chance: it is x-request-attempt now, read and written through one constant. No decision changes; types and lint pass.

--- a/packages/core/src/quarantine/crashEvidence.ts
+++ b/packages/core/src/quarantine/crashEvidence.ts
@@ -1,5 +1,5 @@
 /**
- * The ends of replicas that this process or a peer has seen, with the prompts that had not been answered.
+ * The ends of upstreams that this process or a peer has seen, with the prompts that had not been answered.
  *
  * Reports of the same crash are merged: prompts and cleared segments are united, so the order of arrival does not matter.
  */
@@ -8,7 +8,7 @@
 
 /** What one process saw of a crash. */
 export type OwnCrash = {
-    /** Identifies the incarnation of the replica that ended. */
+    /** Identifies the incarnation of the upstream that ended. */
     readonly crash: string;
     readonly scope: string;
     readonly prompts: readonly (readonly string[])[];
@@ -19,7 +19,7 @@
     readonly add: (report: CrashReport, nowMs: number) => boolean;
     /** Clears a segment of the crashes named. Returns whether that is new. */
     readonly clear: (scope: string, segment: string, crashes: readonly string[]) => boolean;
-    /** Removes a crash from the evidence: the replica has not ended. Returns whether that is new. */
+    /** Removes a crash from the evidence: the upstream has not ended. Returns whether that is new. */
     readonly revoke: (crash: string) => boolean;
     /** Crashes seen before `beforeMs` at which a segment is not cleared. */
     readonly accusing: (scope: string, segment: string, beforeMs: number) => readonly string[];
--- a/packages/core/src/quarantine/findCulprits.ts
+++ b/packages/core/src/quarantine/findCulprits.ts
@@ -1,15 +1,15 @@
 /**
- * Derives from the ends of replicas which prompt segments caused them.
+ * Derives from the ends of upstreams which prompt segments caused them.
  *
- * A segment that ends replicas is in the prompt of a waiting request at each of these ends, and no replica has written an
- * answer on it since. A sound segment is there by chance, and is cleared as soon as some replica writes on it.
+ * A segment that ends upstreams is in the prompt of a waiting request at each of these ends, and no upstream has written an
+ * answer on it since. A sound segment is there by chance, and is cleared as soon as some upstream writes on it.
  */
 
-/** The end of a replica, and the segments of prompts that it had not begun to answer. */
+/** The end of an upstream, and the segments of prompts that it had not begun to answer. */
 export type StandingCrash = {
     readonly crash: string;
     readonly atMs: number;
-    /** Without segments on which a replica has written since. */
+    /** Without segments on which an upstream has written since. */
     readonly prompts: readonly (readonly string[])[];
 };
 
@@ -18,7 +18,7 @@
     readonly crashes: readonly StandingCrash[];
     /** The segments of quarantines in force: a crash with a prompt that contains all of one is explained by it. */
     readonly quarantined: readonly (readonly string[])[];
-    /** Whether replicas are known to have written on a segment at any time, before these crashes too. */
+    /** Whether upstreams are known to have written on a segment at any time, before these crashes too. */
     readonly isKnownSound: (segment: string) => boolean;
 };
 
@@ -27,8 +27,8 @@
 
 /** Crashes closer together than this may have one outside cause, such as a power failure, and count as one. */
 const sameEventMs = 250;
-/** Different replicas that end under a segment that was never sound, even at the same moment. */
-const minReplicas = 3;
+/** Different upstreams that end under a segment that was never sound, even at the same moment. */
+const minUpstreams = 3;
 /** Separate crashes that are needed, and the larger number for segments that were sound before. */
 const minEvents = 2;
 const minEventsIfKnownSound = 3;
@@ -45,7 +45,7 @@
 export function findCulprits({ crashes, quarantined, isKnownSound }: CulpritInput): readonly Culprit[] {
     const supports = supportsOf(crashes, quarantined).filter(({ explainsNew }) => explainsNew);
     const fresh = supports.filter(({ segment, events, crashes: found }) =>
-        !isKnownSound(segment) && (events >= minEvents || found.length >= minReplicas)
+        !isKnownSound(segment) && (events >= minEvents || found.length >= minUpstreams)
     );
     const known = supports.filter(({ segment, events }) => isKnownSound(segment) && events >= minEventsIfKnownSound);
     const best = strongest(fresh.length > 0 ? fresh : known);
--- a/packages/core/src/quarantine/index.ts
+++ b/packages/core/src/quarantine/index.ts
@@ -1,4 +1,4 @@
-/** Quarantine of prompt segments under which replicas end. */
+/** Quarantine of prompt segments under which upstreams end. */
 export { type CrashEvidence, makeCrashEvidence, type OwnCrash } from "./crashEvidence";
 export { containsAll, type Culprit, type CulpritInput, findCulprits, type StandingCrash } from "./findCulprits";
 export { makeQuarantineBook, type QuarantineBook, type QuarantineEntry } from "./quarantineBook";
--- a/packages/core/src/quarantine/quarantineBook.ts
+++ b/packages/core/src/quarantine/quarantineBook.ts
@@ -13,7 +13,7 @@
     readonly segments: readonly string[];
     readonly round: number;
     readonly isLifted: boolean;
-    /** Replicas that have ended under it. */
+    /** Upstreams that have ended under it. */
     readonly crashes: readonly string[];
     readonly sinceMs: number;
     readonly lastCrashMs: number;
@@ -38,14 +38,14 @@
     readonly lift: (id: string) => void;
     /** Adopts a peer's record. Returns whether it says anything new. */
     readonly merge: (record: QuarantineRecord, nowMs: number) => boolean;
-    /** Drops what has not ended a replica for long. Returns the quarantines dropped. */
+    /** Drops what has not ended an upstream for long. Returns the quarantines dropped. */
     readonly expire: (nowMs: number) => readonly QuarantineEntry[];
     readonly records: (nowMs: number) => readonly QuarantineRecord[];
 };
 
 /**
- * The first trial comes soon, since the suspicion may be wrong. Each trial that ends a replica makes the next one much
- * later, since two coincidences are far less likely than a segment that does end replicas.
+ * The first trial comes soon, since the suspicion may be wrong. Each trial that ends an upstream makes the next one much
+ * later, since two coincidences are far less likely than a segment that does end upstreams.
  */
 const firstTrialMs = 3_000;
 const trialFactor = 5;
@@ -109,7 +109,7 @@
             }));
             return true;
         },
-        // A trial without an outcome is repeated soon; one that ends a replica postpones the next one by `addCrash`.
+        // A trial without an outcome is repeated soon; one that ends an upstream postpones the next one by `addCrash`.
         beginTrial: (id, nowMs) =>
             update(id, ({ trials }) => ({ trials: trials + 1, nextTrialMs: nowMs + firstTrialMs })),
         lift: id => update(id, () => ({ isLifted: true })),
--- a/packages/core/src/quarantine/recentlySound.ts
+++ b/packages/core/src/quarantine/recentlySound.ts
@@ -1,5 +1,5 @@
 /**
- * Remembers prompt segments on which replicas have written answers without ending.
+ * Remembers prompt segments on which upstreams have written answers without ending.
  *
  * The memory is bounded. Segments that were sound more than once are kept apart from those that were sound once, so that
  * callers who make up new segments do not displace the ones in common use.
--- a/packages/gateway/src/peers/quarantineExchange.ts
+++ b/packages/gateway/src/peers/quarantineExchange.ts
@@ -1,5 +1,5 @@
 /**
- * Sends what this process sees of prompt segments that end replicas to all peers at once.
+ * Sends what this process sees of prompt segments that end upstreams to all peers at once.
  *
  * Peers of the own zone get it directly. A few processes of each other zone get it and pass it on within theirs, because
  * traffic between zones is expensive. What is lost on the way comes with the notices of the relays.
--- a/packages/schema/src/engine.ts
+++ b/packages/schema/src/engine.ts
@@ -64,7 +64,7 @@
 /** Names of the headers that entry instances and engines exchange. */
 export const headerNames = {
     requestId: "x-request-id",
-    attemptId: "x-attempt-id",
+    attemptId: "x-request-attempt",
     resumeFrom: "x-resume-from",
     priority: "x-priority",
     group: "x-group",
--- a/packages/schema/src/gatewayPeer.ts
+++ b/packages/schema/src/gatewayPeer.ts
@@ -21,7 +21,7 @@
     z.object({ kind: z.literal("clusterState"), configVersion: z.number(), asOf: z.number() }),
     /** Requests the list of gateway processes. */
     z.object({ kind: z.literal("instances") }),
-    /** Requests what is known about prompt segments that end replicas. */
+    /** Requests what is known about prompt segments that end upstreams. */
     z.object({ kind: z.literal("quarantines") }),
     /** Requests that an order be forwarded to an instance that the sender cannot reach. */
     z.object({ kind: z.literal("passOrder"), upstream: UpstreamRecord, order: EngineOrder }),
@@ -82,22 +82,22 @@
 /** Segments of one prompt, without the last one. */
 const Prompt = z.array(z.string().max(64)).max(64);
 
-/** The end of a replica, and the prompts of requests that it had not begun to answer. */
+/** The end of an upstream, and the prompts of requests that it had not begun to answer. */
 export const CrashReport = z.object({
-    /** Identifies the incarnation of the replica. */
+    /** Identifies the incarnation of the upstream. */
     crash: z.string(),
     /** The service and the model. */
     scope: z.string(),
     ageMs: z.number(),
     prompts: z.array(Prompt).max(64),
-    /** Segments on which a replica has written since. */
+    /** Segments on which an upstream has written since. */
     cleared: z.array(z.string()).max(512),
-    /** Whether the replica has turned out not to have ended. */
+    /** Whether the upstream has turned out not to have ended. */
     isRevoked: z.boolean(),
 });
 export type CrashReport = z.infer<typeof CrashReport>;
 
-/** A segment on which a replica has written without ending: after the crashes named, or at any time if none is. */
+/** A segment on which an upstream has written without ending: after the crashes named, or at any time if none is. */
 export const SoundReport = z.object({ scope: z.string(), segment: z.string(), crashes: z.array(z.string()).max(128) });
 export type SoundReport = z.infer<typeof SoundReport>;
 
@@ -117,7 +117,7 @@
 });
 export type QuarantineRecord = z.infer<typeof QuarantineRecord>;
 
-/** What a process knows about prompt segments that end replicas, or what of it has changed. */
+/** What a process knows about prompt segments that end upstreams, or what of it has changed. */
 export const QuarantineNews = z.object({
     kind: z.literal("quarantineNews"),
     /** The process that sent this message. */
