Hold back only the requests of the workspace whose requests have ended upstreams

Found by reading the change once more: a caller that makes upstreams break off requests with a segment of another workspace could have that workspace's requests refused, for three seconds at a time and as often as it liked. The evidence did not say whose the requests were.

Reports and quarantines now name the workspace. A quarantine holds back all only if requests of two workspaces were at its crashes; the first crash of another workspace's request extends it, since it counts with those before. An answer for any workspace ends it.

--- a/packages/core/src/quarantine/__tests__/findCulprits.test.ts
+++ b/packages/core/src/quarantine/__tests__/findCulprits.test.ts
@@ -1,11 +1,17 @@
+import { type Prompt } from "@rattanquay/schema";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { findCulprits, type StandingCrash } from "../findCulprits";
 
+/** Reads "s+p" as a prompt of the workspace "alpha", and "beta:s+p" as one of "beta". */
+const readPrompt = (text: string): Prompt => {
+    const [segments, workspace = "alpha"] = text.split(":").reverse();
+    return { workspace, segments: segments!.split("+") };
+};
 const crash = (atMs: number, ...prompts: readonly string[]): StandingCrash => ({
     crash: `i-${atMs}`,
     atMs,
-    prompts: prompts.map(prompt => prompt.split("+")),
+    prompts: prompts.map(readPrompt),
 });
 const manyPrompts = (prefix: string): readonly string[] =>
     Array.from({ length: 20 }, (unused, index) => `${prefix}${index}`);
@@ -102,9 +108,30 @@
 for (const { name, crashes, quarantined = [], knownSound = [], expected } of cases) {
     test(`culprits: ${name}`, () => {
         const isKnownSound = (segment: string): boolean => knownSound.includes(segment);
-        const culprits = findCulprits({ crashes, quarantined, isKnownSound });
+        const holds = quarantined.map(segments => ({ segments }));
+        const culprits = findCulprits({ crashes, quarantined: holds, isKnownSound });
         assert.equal(culprits.map(({ segments }) => segments), expected);
     });
 }
 
+const ownerCases = [
+    { name: "prompts of one workspace", prompts: ["s+p", "s+p"], expected: "alpha" },
+    { name: "prompts of two workspaces", prompts: ["s+p", "beta:t+p"], expected: undefined },
+];
+for (const { name, prompts, expected } of ownerCases) {
+    test(`culprits: whose requests are held back after crashes under ${name}`, () => {
+        const crashes = prompts.map((prompt, index) => crash(index * 500, prompt));
+        const isKnownSound = (segment: string): boolean => segment !== "p";
+        const [culprit] = findCulprits({ crashes, quarantined: [], isKnownSound });
+        assert.equal([culprit!.segments, culprit!.workspace], [["p"], expected]);
+    });
+}
+
+test("culprits: a crash under a prompt of another workspace is not explained by the quarantine of one", () => {
+    const crashes = [crash(0, "s+p"), crash(500, "s+p"), crash(9_000, "beta:t+p")];
+    const quarantined = [{ segments: ["p"], workspace: "alpha" }];
+    const [culprit] = findCulprits({ crashes, quarantined, isKnownSound: segment => segment !== "p" });
+    assert.equal([culprit!.segments, culprit!.workspace], [["p"], undefined]);
+});
+
 test.run();
--- a/packages/core/src/quarantine/__tests__/fleet.ts
+++ b/packages/core/src/quarantine/__tests__/fleet.ts
@@ -14,16 +14,22 @@
     isSuspended: boolean;
 };
 
-export type Fleet = {
+/** What the callers of one workspace do. */
+export type Callers = {
+    /** Reports that an upstream ended with a waiting request of one process. */
+    readonly crash: (process: number, crash: string, ...segments: readonly string[]) => void;
+    readonly check: (process: number, ...segments: readonly string[]) => "allowed" | "trial" | "refused";
+};
+
+/** `crash` and `check` are those of the workspace "alpha". */
+export type Fleet = Callers & {
     readonly processes: readonly FleetProcess[];
     readonly nowMs: () => number;
     /** How often any process has sent all others a quarantine, and how often a report that a segment is sound. */
     readonly announced: () => { readonly quarantines: number; readonly sound: number };
     readonly advance: (durationMs: number) => void;
-    /** Reports that an upstream ended with a waiting request of one process. */
-    readonly crash: (process: number, crash: string, ...segments: readonly string[]) => void;
+    readonly of: (workspace: string) => Callers;
     readonly sound: (process: number, ...segments: readonly string[]) => void;
-    readonly check: (process: number, ...segments: readonly string[]) => "allowed" | "trial" | "refused";
     /** Starts a process that knows nothing and requests the state of another. */
     readonly join: (from: number) => number;
     readonly resume: (process: number) => void;
@@ -68,22 +74,29 @@
         return process;
     };
     Array.from({ length: size }, start);
+    const of: Fleet["of"] = workspace => ({
+        crash: (process, crash, ...segments) => {
+            const prompts = [{ workspace, segments: [...segments] }];
+            processes[process]!.quarantine.noteCrash({ crash, scope, prompts }, timer.nowMs());
+        },
+        check: (process, ...segments) => {
+            const prompt = { workspace, segments: [...segments] };
+            const { kind } = processes[process]!.quarantine.check(scope, prompt, timer.nowMs());
+            if (kind === "trial") {
+                broadcast(processes[process]!);
+            }
+            return kind;
+        },
+    });
     return {
+        ...of("alpha"),
+        of,
         processes,
         nowMs: timer.nowMs,
         announced: () => announced,
         advance: durationMs => timer.advance(durationMs),
-        crash: (process, crash, ...segments) =>
-            processes[process]!.quarantine.noteCrash({ crash, scope, prompts: [segments] }, timer.nowMs()),
         sound: (process, ...segments) =>
             processes[process]!.quarantine.noteSound(scope, segments, timer.nowMs(), timer.nowMs()),
-        check: (process, ...segments) => {
-            const { kind } = processes[process]!.quarantine.check(scope, segments, timer.nowMs());
-            if (kind === "trial") {
-                broadcast(processes[process]!);
-            }
-            return kind;
-        },
         join: from => {
             const joined = start();
             joined.quarantine.receive(processes[from]!.quarantine.snapshot(timer.nowMs()), timer.nowMs());
--- a/packages/core/src/quarantine/__tests__/longRunning.test.ts
+++ b/packages/core/src/quarantine/__tests__/longRunning.test.ts
@@ -35,19 +35,20 @@
     const quarantine = new SegmentQuarantine({ onEvent: () => undefined, random: () => 0, processes: () => 2 });
     const records = [impose(["p", "s"], { nextTrialInMs: 0 }), impose(["p"], { nextTrialInMs: 60_000 })];
     quarantine.receive({ crashes: [], sound: [], quarantines: records }, 0);
-    assert.is(quarantine.check(scope, ["s", "p"], 5_000).kind, "refused");
+    assert.is(quarantine.check(scope, { workspace: "alpha", segments: ["s", "p"] }, 5_000).kind, "refused");
 });
 
 test("a report of an old crash postpones the next trial like a new one", () => {
     const quarantine = new SegmentQuarantine({ onEvent: () => undefined, random: () => 0, processes: () => 2 });
     quarantine.receive({ crashes: [], sound: [], quarantines: [impose(["p"], { nextTrialInMs: 500 })] }, 0);
-    const crash = { crash: "i-0", scope, ageMs: 60_000, prompts: [["p"]], cleared: [], isRevoked: false };
+    const prompts = [{ workspace: "alpha", segments: ["p"] }];
+    const crash = { crash: "i-0", scope, ageMs: 60_000, prompts, cleared: [], isRevoked: false };
     quarantine.receive({ crashes: [crash], sound: [], quarantines: [] }, 100);
     quarantine.receive(
         { crashes: [{ ...crash, crash: "i-9", ageMs: 0, isRevoked: true }], sound: [], quarantines: [] },
         100,
     );
-    assert.is(quarantine.check(scope, ["p"], 600).kind, "trial");
+    assert.is(quarantine.check(scope, { workspace: "alpha", segments: ["p"] }, 600).kind, "trial");
 });
 
 test("a process that is new to the fleet accuses a segment that all others know to be sound", () => {
@@ -74,7 +75,11 @@
     processes.forEach((process, owner) => {
         for (let crash = 0; crash < 60; crash++) {
             process.noteCrash(
-                { crash: `i-${owner}-${crash}`, scope, prompts: [[`t${owner}-${crash}`]] },
+                {
+                    crash: `i-${owner}-${crash}`,
+                    scope,
+                    prompts: [{ workspace: "alpha", segments: [`t${owner}-${crash}`] }],
+                },
                 nowMs + crash,
             );
         }
--- a/packages/core/src/quarantine/__tests__/merging.test.ts
+++ b/packages/core/src/quarantine/__tests__/merging.test.ts
@@ -1,5 +1,5 @@
 /** Reports and records may arrive in any order, and more than once. */
-import { type CrashReport, type QuarantineRecord } from "@rattanquay/schema";
+import { type CrashReport, type Prompt, type QuarantineRecord } from "@rattanquay/schema";
 import { assert as check, property, shuffledSubarray } from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -12,7 +12,7 @@
     crash,
     scope,
     ageMs: 100,
-    prompts: prompts.map(prompt => prompt.split("+")),
+    prompts: prompts.map(prompt => ({ workspace: "alpha", segments: prompt.split("+") })),
     cleared: [...cleared],
     isRevoked: false,
 });
@@ -49,8 +49,8 @@
 ];
 
 const inAnyOrder = <T>(items: readonly T[]) => shuffledSubarray([...items], { minLength: items.length });
-const sorted = (prompts: readonly (readonly string[])[]): readonly string[] =>
-    prompts.map(prompt => prompt.join("+")).sort();
+const sorted = (prompts: readonly Prompt[]): readonly string[] =>
+    prompts.map(({ segments }) => segments.join("+")).sort();
 
 test("reports of crashes lead to the same evidence in any order", () => {
     check(property(inAnyOrder(reports), inAnyOrder(reports), (first, again) => {
--- a/packages/core/src/quarantine/__tests__/segmentQuarantine.test.ts
+++ b/packages/core/src/quarantine/__tests__/segmentQuarantine.test.ts
@@ -2,6 +2,7 @@
 import * as assert from "uvu/assert";
 import { type Fleet, makeFleet, scope } from "./fleet";
 
+const prompt = { workspace: "alpha", segments: ["p"] };
 /** Long enough for a report, a decision and its report. */
 const settleMs = 300;
 
@@ -132,7 +133,7 @@
 test("a caller that is refused gets a time at which the outcome of the next trial is known", () => {
     const fleet = makeFleet(3);
     crashTwice(fleet);
-    const verdict = fleet.processes[0]!.quarantine.check(scope, ["p"], fleet.nowMs());
+    const verdict = fleet.processes[0]!.quarantine.check(scope, prompt, fleet.nowMs());
     assert.ok(verdict.kind === "refused" && verdict.retryAfterMs > 3_000 && verdict.retryAfterMs < 8_000);
     assert.equal(verdict.kind === "refused" && verdict.quarantine.crashes, ["i-1", "i-2"]);
 });
@@ -140,7 +141,28 @@
 test("a segment that ends the upstreams of one model stays allowed for another", () => {
     const fleet = makeFleet(3);
     crashTwice(fleet);
-    assert.is(fleet.processes[0]!.quarantine.check("drafts/small", ["p"], fleet.nowMs()).kind, "allowed");
+    assert.is(fleet.processes[0]!.quarantine.check("drafts/small", prompt, fleet.nowMs()).kind, "allowed");
+});
+
+test("one caller cannot raise a suspicion against the requests of another workspace", () => {
+    const fleet = makeFleet(5);
+    crashTwice(fleet);
+    const others = fleet.of("beta");
+    assert.is(fleet.check(3, "p"), "refused");
+    assert.is(others.check(3, "p"), "allowed");
+    others.crash(4, "i-3", "s", "p");
+    fleet.advance(settleMs);
+    assert.equal(fleet.processes.map((unused, process) => others.check(process, "p")), Array(5).fill("refused"));
+    assert.is(fleet.of("gamma").check(0, "p"), "refused");
+});
+
+test("a quarantine of one workspace ends when an upstream has answered the segment for another", () => {
+    const fleet = makeFleet(5);
+    crashTwice(fleet);
+    fleet.advance(100);
+    fleet.sound(4, "p");
+    fleet.advance(settleMs);
+    assert.equal(checkAll(fleet, "p"), ["allowed"]);
 });
 
 test("bounds: callers that make up segments neither fill the memory nor displace what is known", () => {
--- a/packages/core/src/quarantine/crashEvidence.ts
+++ b/packages/core/src/quarantine/crashEvidence.ts
@@ -3,7 +3,7 @@
  *
  * Reports of the same crash are merged: prompts and cleared segments are united, so the order of arrival does not matter.
  */
-import { type CrashReport } from "@rattanquay/schema";
+import { type CrashReport, type Prompt } from "@rattanquay/schema";
 import { type StandingCrash } from "./findCulprits";
 
 /** What one process saw of a crash. */
@@ -11,7 +11,7 @@
     /** Identifies the incarnation of the upstream that ended. */
     readonly crash: string;
     readonly scope: string;
-    readonly prompts: readonly (readonly string[])[];
+    readonly prompts: readonly Prompt[];
 };
 
 export type CrashEvidence = {
@@ -34,7 +34,7 @@
     readonly crash: string;
     readonly scope: string;
     readonly atMs: number;
-    readonly prompts: Map<string, readonly string[]>;
+    readonly prompts: Map<string, Prompt>;
     readonly cleared: Set<string>;
     isRevoked: boolean;
 };
@@ -42,7 +42,7 @@
 const maxAgeMs = 600_000;
 const maxCrashes = 64;
 const maxForgotten = 2_048;
-const maxPrompts = 48;
+const maxPrompts = 64;
 const maxSegments = 16;
 const maxCleared = 256;
 /** Older crashes are not sent to peers: whoever was away for longer starts anew. */
@@ -59,12 +59,12 @@
             forgotten.delete(forgotten.values().next().value!);
         }
     };
-    const standingPrompts = ({ prompts, cleared, isRevoked }: Entry): readonly (readonly string[])[] => {
-        const left = new Map<string, readonly string[]>();
-        for (const prompt of isRevoked ? [] : prompts.values()) {
-            const segments = prompt.filter(segment => !cleared.has(segment));
-            if (segments.length > 0) {
-                left.set(segments.join(","), segments);
+    const standingPrompts = ({ prompts, cleared, isRevoked }: Entry): readonly Prompt[] => {
+        const left = new Map<string, Prompt>();
+        for (const { workspace, segments } of isRevoked ? [] : prompts.values()) {
+            const standing = { workspace, segments: segments.filter(segment => !cleared.has(segment)) };
+            if (standing.segments.length > 0) {
+                left.set(keyOf(standing), standing);
             }
         }
         return [...left.values()];
@@ -81,10 +81,10 @@
             forget(entries.keys().next().value!);
         }
         const sizeBefore = entry.prompts.size + entry.cleared.size;
-        for (const prompt of prompts) {
-            const segments = prompt.slice(0, maxSegments);
+        for (const { workspace, segments } of prompts) {
+            const prompt = { workspace, segments: segments.slice(0, maxSegments) };
             if (entry.prompts.size < maxPrompts) {
-                entry.prompts.set(segments.join(","), segments);
+                entry.prompts.set(keyOf(prompt), prompt);
             }
         }
         cleared.slice(0, maxCleared - entry.cleared.size).forEach(segment => entry.cleared.add(segment));
@@ -93,7 +93,7 @@
         return isNew || isRevokedNow || entry.prompts.size + entry.cleared.size > sizeBefore;
     };
     const isAccused = ({ prompts, cleared, isRevoked }: Entry, segment: string): boolean =>
-        !isRevoked && !cleared.has(segment) && [...prompts.values()].some(prompt => prompt.includes(segment));
+        !isRevoked && !cleared.has(segment) && [...prompts.values()].some(({ segments }) => segments.includes(segment));
     return {
         add,
         clear: (scope, segment, crashes) => {
@@ -133,8 +133,12 @@
             [...entries.values()].flatMap(entry => {
                 const ageMs = Math.max(0, Math.round(nowMs - entry.atMs));
                 const { crash, scope, cleared, isRevoked } = entry;
-                const prompts = standingPrompts(entry).map(prompt => [...prompt]);
+                const prompts = [...standingPrompts(entry)];
                 return ageMs < maxSentAgeMs ? [{ crash, scope, ageMs, prompts, cleared: [...cleared], isRevoked }] : [];
             }),
     };
 }
+
+function keyOf({ workspace, segments }: Prompt): string {
+    return `${workspace} ${segments.join(",")}`;
+}
--- a/packages/core/src/quarantine/findCulprits.ts
+++ b/packages/core/src/quarantine/findCulprits.ts
@@ -5,25 +5,28 @@
  * answer on it since. A sound segment is there by chance, and is cleared as soon as some upstream writes on it.
  */
 
+import { type Prompt } from "@rattanquay/schema";
+import { containsAll, type Hold, holdsBack } from "./prompt";
+
 /** The end of an upstream, and the segments of prompts that it had not begun to answer. */
 export type StandingCrash = {
     readonly crash: string;
     readonly atMs: number;
     /** Without segments on which an upstream has written since. */
-    readonly prompts: readonly (readonly string[])[];
+    readonly prompts: readonly Prompt[];
 };
 
 export type CulpritInput = {
     /** The crashes of one scope. */
     readonly crashes: readonly StandingCrash[];
-    /** The segments of quarantines in force: a crash with a prompt that contains all of one is explained by it. */
-    readonly quarantined: readonly (readonly string[])[];
+    /** The quarantines in force: a crash with a prompt that one of them holds back is explained by it. */
+    readonly quarantined: readonly Hold[];
     /** Whether upstreams are known to have written on a segment at any time, before these crashes too. */
     readonly isKnownSound: (segment: string) => boolean;
 };
 
-/** Segments that occur together in the same prompts, and the crashes at which they do. */
-export type Culprit = { readonly segments: readonly string[]; readonly crashes: readonly string[] };
+/** Segments that occur together in the same prompts, the crashes at which they do, and whose prompts these all are. */
+export type Culprit = Hold & { readonly crashes: readonly string[] };
 
 /** Crashes closer together than this may have one outside cause, such as a power failure, and count as one. */
 const sameEventMs = 250;
@@ -59,15 +62,13 @@
  */
 function supportsOf(
     crashes: readonly StandingCrash[],
-    quarantined: readonly (readonly string[])[],
+    quarantined: readonly Hold[],
 ): readonly Support[] {
     const crashesBySegment = new Map<string, { readonly crashes: StandingCrash[]; explainsNew: boolean }>();
     for (const crash of crashes) {
-        const explanations = quarantined.filter(segments =>
-            crash.prompts.some(prompt => containsAll(prompt, segments))
-        );
-        const counted = explanations.length === 0 ? crash.prompts.flat() : explanations.flat();
-        for (const segment of new Set(counted)) {
+        const explanations = quarantined.filter(hold => crash.prompts.some(prompt => holdsBack(hold, prompt)));
+        const counted = explanations.length === 0 ? crash.prompts : explanations;
+        for (const segment of new Set(counted.flatMap(({ segments }) => segments))) {
             const entry = crashesBySegment.get(segment) ?? { crashes: [], explainsNew: false };
             entry.crashes.push(crash);
             entry.explainsNew ||= explanations.length === 0;
@@ -101,19 +102,26 @@
 
 /** Segments that nothing distinguishes are one culprit: only requests with all of them are held back. */
 function groupByPrompts(supports: readonly Support[]): readonly Culprit[] {
-    const segmentsByPrompts = new Map<string, { readonly segments: string[]; readonly crashes: readonly string[] }>();
+    const groups = new Map<string, { readonly segments: string[]; readonly crashes: readonly StandingCrash[] }>();
     for (const { segment, crashes } of supports) {
         const key = crashes.map(({ crash, prompts }) => {
-            const places = prompts.flatMap((prompt, index) => prompt.includes(segment) ? [index] : []);
+            const places = prompts.flatMap(({ segments }, index) => segments.includes(segment) ? [index] : []);
             return `${crash} ${places.join(" ")}`;
         }).join(",");
-        const culprit = segmentsByPrompts.get(key) ?? { segments: [], crashes: crashes.map(({ crash }) => crash) };
-        culprit.segments.push(segment);
-        segmentsByPrompts.set(key, culprit);
+        const group = groups.get(key) ?? { segments: [], crashes };
+        group.segments.push(segment);
+        groups.set(key, group);
     }
-    return [...segmentsByPrompts.values()].map(({ segments, crashes }) => ({ segments: segments.sort(), crashes }));
+    return [...groups.values()].map(({ segments, crashes }) => ({
+        segments: segments.sort(),
+        workspace: commonWorkspace(segments, crashes),
+        crashes: crashes.map(({ crash }) => crash),
+    }));
 }
 
-export function containsAll(prompt: readonly string[], segments: readonly string[]): boolean {
-    return segments.every(segment => prompt.includes(segment));
+/** The workspace that all prompts with the segments are of; undefined if there are several. */
+function commonWorkspace(segments: readonly string[], crashes: readonly StandingCrash[]): string | undefined {
+    const prompts = crashes.flatMap(crash => crash.prompts).filter(prompt => containsAll(prompt.segments, segments));
+    const workspaces = new Set(prompts.map(({ workspace }) => workspace));
+    return workspaces.size === 1 ? prompts[0]!.workspace : undefined;
 }
--- a/packages/core/src/quarantine/index.ts
+++ b/packages/core/src/quarantine/index.ts
@@ -1,6 +1,7 @@
 /** Quarantine of prompt segments under which upstreams end. */
 export { type CrashEvidence, makeCrashEvidence, type OwnCrash } from "./crashEvidence";
-export { containsAll, type Culprit, type CulpritInput, findCulprits, type StandingCrash } from "./findCulprits";
+export { type Culprit, type CulpritInput, findCulprits, type StandingCrash } from "./findCulprits";
+export { containsAll, covers, type Hold, holdsBack } from "./prompt";
 export { makeQuarantineBook, type QuarantineBook, type QuarantineEntry } from "./quarantineBook";
 export { makeRecentlySound, type RecentlySound } from "./recentlySound";
 export {
--- a/packages/core/src/quarantine/quarantineBook.ts
+++ b/packages/core/src/quarantine/quarantineBook.ts
@@ -4,13 +4,13 @@
  * Every process keeps the same book. A quarantine is identified by its scope and segments; its rounds are numbered, and
  * of two records of the same round the lifted one holds, so that records may arrive in any order.
  */
-import { type QuarantineRecord } from "@rattanquay/schema";
-import { containsAll } from "./findCulprits";
+import { type Prompt, type QuarantineRecord } from "@rattanquay/schema";
+import { type Culprit } from "./findCulprits";
+import { covers, type Hold, holdsBack } from "./prompt";
 
-export type QuarantineEntry = {
+export type QuarantineEntry = Hold & {
     readonly id: string;
     readonly scope: string;
-    readonly segments: readonly string[];
     readonly round: number;
     readonly isLifted: boolean;
     /** Upstreams that have ended under it. */
@@ -24,14 +24,9 @@
 
 export type QuarantineBook = {
     /** The quarantines in force that hold back any of some prompts. */
-    readonly matching: (scope: string, prompts: readonly (readonly string[])[]) => readonly QuarantineEntry[];
+    readonly matching: (scope: string, prompts: readonly Prompt[]) => readonly QuarantineEntry[];
     readonly active: () => readonly QuarantineEntry[];
-    readonly impose: (
-        scope: string,
-        segments: readonly string[],
-        crashes: readonly string[],
-        nowMs: number,
-    ) => QuarantineEntry;
+    readonly impose: (scope: string, culprit: Culprit, nowMs: number) => QuarantineEntry;
     /** Records one more crash under a quarantine. Returns whether it was not known. */
     readonly addCrash: (id: string, crash: string, atMs: number) => boolean;
     readonly beginTrial: (id: string, nowMs: number) => void;
@@ -55,8 +50,9 @@
 const maxEntries = 64;
 const maxCrashes = 16;
 
-export function quarantineId(scope: string, segments: readonly string[]): string {
-    return `${scope}:${[...segments].sort().join("+")}`;
+export function quarantineId(scope: string, { segments, workspace }: Hold): string {
+    const owner = workspace === undefined ? "" : `@${workspace}`;
+    return `${scope}:${[...segments].sort().join("+")}${owner}`;
 }
 
 export function makeQuarantineBook(): QuarantineBook {
@@ -77,16 +73,13 @@
     const active = (): readonly QuarantineEntry[] => [...entries.values()].filter(({ isLifted }) => !isLifted);
     return {
         matching: (scope, prompts) =>
-            active().filter(entry =>
-                entry.scope === scope && prompts.some(prompt => containsAll(prompt, entry.segments))
-            ),
+            active().filter(entry => entry.scope === scope && prompts.some(prompt => holdsBack(entry, prompt))),
         active,
-        impose: (scope, segments, crashes, nowMs) => {
-            const id = quarantineId(scope, segments);
+        impose: (scope, { segments, workspace, crashes }, nowMs) => {
+            const id = quarantineId(scope, { segments, workspace });
             const round = (entries.get(id)?.round ?? 0) + 1;
-            // A quarantine of fewer segments holds back all that one of more segments does.
             for (const other of active()) {
-                if (other.scope === scope && other.id !== id && containsAll(other.segments, segments)) {
+                if (other.scope === scope && other.id !== id && covers({ segments, workspace }, other)) {
                     update(other.id, () => ({ isLifted: true }));
                 }
             }
@@ -94,7 +87,7 @@
             const nextTrialMs = nowMs + trialIntervalMs(trials);
             const known = crashes.slice(-maxCrashes);
             const times = { sinceMs: nowMs, lastCrashMs: nowMs, nextTrialMs };
-            const entry = { id, scope, segments, round, isLifted: false, crashes: known, trials, ...times };
+            const entry = { id, scope, segments, workspace, round, isLifted: false, crashes: known, trials, ...times };
             set(entry);
             return entry;
         },
@@ -114,7 +107,7 @@
             update(id, ({ trials }) => ({ trials: trials + 1, nextTrialMs: nowMs + firstTrialMs })),
         lift: id => update(id, () => ({ isLifted: true })),
         merge: (record, nowMs) => {
-            const known = entries.get(quarantineId(record.scope, record.segments));
+            const known = entries.get(quarantineId(record.scope, record));
             const received = entryOf(record, nowMs);
             if (known === undefined || received.round > known.round) {
                 set(received);
@@ -146,10 +139,11 @@
         },
         records: nowMs =>
             [...entries.values()].map((
-                { scope, segments, round, isLifted, crashes, sinceMs, lastCrashMs, trials, nextTrialMs },
+                { scope, segments, workspace, round, isLifted, crashes, sinceMs, lastCrashMs, trials, nextTrialMs },
             ) => ({
                 scope,
                 segments: [...segments],
+                workspace,
                 round,
                 isLifted,
                 crashes: [...crashes],
@@ -169,7 +163,7 @@
     const { ageMs, lastCrashAgeMs, nextTrialInMs, ...same } = record;
     return {
         ...same,
-        id: quarantineId(record.scope, record.segments),
+        id: quarantineId(record.scope, record),
         sinceMs: nowMs - ageMs,
         lastCrashMs: nowMs - lastCrashAgeMs,
         nextTrialMs: nowMs + nextTrialInMs,
--- a/packages/core/src/quarantine/segmentQuarantine.ts
+++ b/packages/core/src/quarantine/segmentQuarantine.ts
@@ -5,9 +5,16 @@
  * processes merge the reports and come to the same quarantines, whoever saw what. A scope is a service and a model:
  * a segment that ends the upstreams of one model may be sound for another.
  */
-import { type CrashReport, type QuarantineNews, type QuarantineRecord, type SoundReport } from "@rattanquay/schema";
+import {
+    type CrashReport,
+    type Prompt,
+    type QuarantineNews,
+    type QuarantineRecord,
+    type SoundReport,
+} from "@rattanquay/schema";
 import { type CrashEvidence, makeCrashEvidence, type OwnCrash } from "./crashEvidence";
-import { containsAll, findCulprits } from "./findCulprits";
+import { findCulprits } from "./findCulprits";
+import { containsAll, covers } from "./prompt";
 import { makeQuarantineBook, type QuarantineBook, type QuarantineEntry, quarantineId } from "./quarantineBook";
 import { makeSoundReports, type SoundReports } from "./soundReports";
 
@@ -51,7 +58,6 @@
 const trialOutcomeMs = 1_500;
 const returnSpreadMs = 1_500;
 
-/** The prompts in all parameters are lists of segments without the last one. */
 export class SegmentQuarantine {
     private readonly evidence: CrashEvidence = makeCrashEvidence();
     private readonly book: QuarantineBook = makeQuarantineBook();
@@ -70,7 +76,7 @@
     }
 
     /** Decides about a request that is about to be sent. */
-    check(scope: string, prompt: readonly string[], nowMs: number): QuarantineVerdict {
+    check(scope: string, prompt: Prompt, nowMs: number): QuarantineVerdict {
         const matching = this.book.matching(scope, [prompt]);
         const [quarantine] = [...matching].sort((a, b) => b.nextTrialMs - a.nextTrialMs);
         if (quarantine === undefined) {
@@ -90,16 +96,16 @@
 
     /** Records requests that an upstream had not begun to answer when it ended. */
     noteCrash({ crash, scope, prompts }: OwnCrash, nowMs: number): void {
-        const shared = prompts.filter(prompt => prompt.length > 0).map(prompt => [...prompt]);
-        const report = { crash, scope, ageMs: 0, prompts: shared, cleared: [], isRevoked: false };
+        const shared = prompts.filter(({ segments }) => segments.length > 0);
+        const report = { crash, scope, ageMs: 0, prompts: [...shared], cleared: [], isRevoked: false };
         if (shared.length > 0 && this.addCrash(report, "own", nowMs)) {
             this.changedCrashes.add(crash);
         }
     }
 
     /** Records that an upstream began to write an answer at `beganAtMs` and has not ended. */
-    noteSound(scope: string, prompt: readonly string[], beganAtMs: number, nowMs: number): void {
-        for (const segment of prompt) {
+    noteSound(scope: string, segments: readonly string[], beganAtMs: number, nowMs: number): void {
+        for (const segment of segments) {
             this.sound.noteOwn(scope, segment);
             const crashes = this.evidence.accusing(scope, segment, beganAtMs);
             if (crashes.length > 0) {
@@ -108,8 +114,9 @@
                 this.sound.schedule({ scope, segment, crashes: [...crashes] }, nowMs);
             }
         }
-        for (const quarantine of this.book.matching(scope, [prompt])) {
-            if (quarantine.lastCrashMs < beganAtMs) {
+        for (const quarantine of this.book.active()) {
+            const isAnswered = quarantine.scope === scope && containsAll(segments, quarantine.segments);
+            if (isAnswered && quarantine.lastCrashMs < beganAtMs) {
                 this.book.lift(quarantine.id);
                 this.announce(quarantine.id);
                 this.options.onEvent({ kind: "lifted", quarantine, reason: "answered" });
@@ -147,9 +154,7 @@
         const content = {
             crashes: crashes.filter(({ crash }) => changedCrashes.has(crash)),
             sound: this.sound.takeDue(nowMs),
-            quarantines: quarantines.filter(({ scope, segments }) =>
-                changedQuarantines.has(quarantineId(scope, segments))
-            ),
+            quarantines: quarantines.filter(record => changedQuarantines.has(quarantineId(record.scope, record))),
         };
         this.changedCrashes.clear();
         this.changedQuarantines.clear();
@@ -240,7 +245,7 @@
     }
 
     private mergeRecord(record: QuarantineRecord, nowMs: number): boolean {
-        const id = quarantineId(record.scope, record.segments);
+        const id = quarantineId(record.scope, record);
         const find = (): QuarantineEntry | undefined => this.book.active().find(entry => entry.id === id);
         const before = find();
         const isNew = this.book.merge(record, nowMs);
@@ -260,12 +265,12 @@
             const known = this.book.active().filter(entry => entry.scope === scope);
             const culprits = findCulprits({
                 crashes: this.evidence.standing(scope, nowMs),
-                quarantined: known.map(({ segments }) => segments),
+                quarantined: known,
                 isKnownSound: segment => this.sound.isKnown(scope, segment),
             });
-            for (const { segments, crashes } of culprits) {
-                const superseded = known.filter(entry => containsAll(entry.segments, segments));
-                const quarantine = this.book.impose(scope, segments, crashes, nowMs);
+            for (const culprit of culprits) {
+                const superseded = known.filter(entry => covers(culprit, entry));
+                const quarantine = this.book.impose(scope, culprit, nowMs);
                 [quarantine, ...superseded].forEach(({ id }) => this.announce(id));
                 this.options.onEvent({ kind: "imposed", quarantine, origin: "own" });
             }
--- a/packages/core/src/quarantine/soundReports.ts
+++ b/packages/core/src/quarantine/soundReports.ts
@@ -4,7 +4,7 @@
  * Many processes may be able to report the same. Each waits for a random moment, and the first report makes the others
  * needless.
  */
-import { type CrashReport, type SoundReport } from "@rattanquay/schema";
+import { type CrashReport, type Prompt, type SoundReport } from "@rattanquay/schema";
 import { makeRecentlySound } from "./recentlySound";
 
 export type SoundReports = {
@@ -59,14 +59,14 @@
         schedule,
         knownAmong: crashes => {
             const segments = crashes.flatMap(({ scope, prompts }) =>
-                prompts.flat().map(segment => ({ scope, segment }))
+                segmentsOf(prompts).map(segment => ({ scope, segment }))
             );
             const known = segments.filter(({ scope, segment }) => sound.has(scope, segment));
             const unique = new Map(known.map(item => [`${item.scope} ${item.segment}`, item]));
             return [...unique.values()].map(item => ({ ...item, crashes: [] }));
         },
         scheduleOwn: ({ scope, prompts }, nowMs) => {
-            for (const segment of new Set(prompts.flat())) {
+            for (const segment of segmentsOf(prompts)) {
                 if (own.has(scope, segment) && mayReport(scope, segment, nowMs)) {
                     schedule({ scope, segment, crashes: [] }, nowMs);
                 }
@@ -92,3 +92,7 @@
         && report.segment === received.segment
         && report.crashes.every(crash => received.crashes.includes(crash));
 }
+
+function segmentsOf(prompts: readonly Prompt[]): readonly string[] {
+    return [...new Set(prompts.flatMap(({ segments }) => segments))];
+}
--- a/packages/gateway/src/exchange/admittedRequest.ts
+++ b/packages/gateway/src/exchange/admittedRequest.ts
@@ -21,7 +21,7 @@
 
 /** What the quarantine needs to know of a request. */
 export function promptRequestOf(
-    { caller: { requestId, model, promptSegments }, service }: AdmittedRequest,
+    { caller: { requestId, model, promptSegments }, service, workspace }: AdmittedRequest,
 ): PromptRequest {
-    return { requestId, service: service.service, model, promptSegments };
+    return { requestId, service: service.service, model, workspace, promptSegments };
 }
--- a/packages/gateway/src/quarantine/__tests__/attemptWatch.test.ts
+++ b/packages/gateway/src/quarantine/__tests__/attemptWatch.test.ts
@@ -5,6 +5,8 @@
 import { type KnownUpstream } from "../../upstreams";
 import { type ObservedEnd, watchAttempt } from "../attemptWatch";
 
+const prompt = { workspace: "alpha", segments: ["5c1e"] };
+
 type Case = {
     readonly name: string;
     /** When the upstream writes the first part of its answer; undefined if it does not. */
@@ -50,12 +52,12 @@
     test(`attempts under watch: ${name}`, () => {
         const timer = new VirtualTimer();
         const state = new SegmentQuarantine({ onEvent: () => undefined, random: () => 0.5, processes: () => 1 });
-        state.noteCrash({ crash: "i-1@1", scope: "drafts/large", prompts: [["5c1e"]] }, timer.nowMs());
+        state.noteCrash({ crash: "i-1@1", scope: "drafts/large", prompts: [prompt] }, timer.nowMs());
         timer.advance(1);
         let crashes = 0;
         const attempt = {
             scope: "drafts/large",
-            prompt: ["5c1e"],
+            prompt,
             upstream: {} as KnownUpstream,
             abort: () => undefined,
         };
--- a/packages/gateway/src/quarantine/attemptWatch.ts
+++ b/packages/gateway/src/quarantine/attemptWatch.ts
@@ -1,5 +1,6 @@
 /** Observes one attempt of a request with a prompt: whether its upstream ended before it had really begun to answer. */
 import { type SegmentQuarantine } from "@rattanquay/core";
+import { type Prompt } from "@rattanquay/schema";
 import { type Timer } from "@rattanquay/timer";
 import { type KnownUpstream } from "../upstreams";
 
@@ -19,7 +20,7 @@
 
 export type WatchedAttempt = {
     readonly scope: string;
-    readonly prompt: readonly string[];
+    readonly prompt: Prompt;
     readonly upstream: KnownUpstream;
     readonly abort: (reason: string) => void;
 };
@@ -44,7 +45,7 @@
     let cancelSound = (): void => undefined;
     const noteSound = (): void => {
         isSound = true;
-        state.noteSound(scope, prompt, beganAtMs ?? timer.nowMs(), timer.nowMs());
+        state.noteSound(scope, prompt.segments, beganAtMs ?? timer.nowMs(), timer.nowMs());
     };
     const handlers = {
         answered: () => isSound || noteSound(),
--- a/packages/gateway/src/quarantine/quarantineTask.ts
+++ b/packages/gateway/src/quarantine/quarantineTask.ts
@@ -1,13 +1,13 @@
 /** Runs the quarantine of one process: observes its attempts, exchanges reports with peers and writes logs and metrics. */
 import {
-    containsAll,
+    holdsBack,
     type QuarantineContent,
     type QuarantineEntry,
     type QuarantineEvent,
     type QuarantineVerdict,
     SegmentQuarantine,
 } from "@rattanquay/core";
-import { type QuarantineNews } from "@rattanquay/schema";
+import { type Prompt, type QuarantineNews } from "@rattanquay/schema";
 import { type Cancel } from "@rattanquay/timer";
 import { type GatewayContext } from "../gatewayContext";
 import { type KnownUpstream, type UpstreamRegistry } from "../upstreams";
@@ -18,6 +18,7 @@
     readonly requestId: string | undefined;
     readonly service: string;
     readonly model: string | undefined;
+    readonly workspace: string | undefined;
     readonly promptSegments: readonly string[];
 };
 
@@ -57,7 +58,7 @@
     /** Decides whether a request may be sent now, and logs why not. */
     check(request: PromptRequest): QuarantineVerdict {
         const nowMs = this.context.timer.nowMs();
-        const verdict = this.state.check(scopeOf(request), sharedSegments(request), nowMs);
+        const verdict = this.state.check(scopeOf(request), promptOf(request), nowMs);
         if (verdict.kind !== "allowed") {
             const { log, metrics } = this.context;
             const fields = { requestId: request.requestId, ...evidenceOf(verdict.quarantine, nowMs) };
@@ -76,8 +77,8 @@
 
     /** Observes an attempt; it is aborted if its prompt is quarantined before the upstream writes anything. */
     watch(request: PromptRequest, upstream: KnownUpstream, abort: WatchedAttempt["abort"]): AttemptWatch {
-        const prompt = sharedSegments(request);
-        if (prompt.length === 0) {
+        const prompt = promptOf(request);
+        if (prompt.segments.length === 0) {
             return unwatched;
         }
         const attempt: RunningAttempt = { scope: scopeOf(request), prompt, upstream, abort, hasOutput: false };
@@ -146,9 +147,10 @@
         this.abortMatching(event.quarantine);
     }
 
-    private abortMatching({ scope, segments }: QuarantineEntry): void {
+    private abortMatching(quarantine: QuarantineEntry): void {
         for (const attempt of [...this.running]) {
-            if (attempt.scope === scope && !attempt.hasOutput && containsAll(attempt.prompt, segments)) {
+            const isHeldBack = attempt.scope === quarantine.scope && holdsBack(quarantine, attempt.prompt);
+            if (isHeldBack && !attempt.hasOutput) {
                 attempt.abort("a segment of its prompt was quarantined");
             }
         }
@@ -160,7 +162,7 @@
         const nowMs = timer.nowMs();
         this.cutsByCrash.set(crash, { upstream, atMs: nowMs });
         metrics.suspectedCrashes.inc();
-        log.info("crashSuspected", { upstream: upstream.record.id, crash, scope, segments: prompt });
+        log.info("crashSuspected", { upstream: upstream.record.id, crash, scope, ...prompt });
         this.state.noteCrash({ crash, scope, prompts: [prompt] }, nowMs);
         this.schedule();
     }
@@ -226,8 +228,8 @@
 }
 
 /** The last segment belongs to the request or its session alone, so that it says nothing about other requests. */
-function sharedSegments({ promptSegments }: PromptRequest): readonly string[] {
-    return promptSegments.slice(0, -1);
+function promptOf({ workspace = "", promptSegments }: PromptRequest): Prompt {
+    return { workspace, segments: promptSegments.slice(0, -1) };
 }
 
 function crashOf({ record: { id, bornAtMs } }: KnownUpstream): string {
@@ -236,10 +238,11 @@
 
 /** What a quarantine rests on, and how old that is, for log lines. */
 function evidenceOf(quarantine: QuarantineEntry, nowMs: number) {
-    const { id, segments, round, crashes, sinceMs, lastCrashMs, trials, nextTrialMs } = quarantine;
+    const { id, segments, workspace, round, crashes, sinceMs, lastCrashMs, trials, nextTrialMs } = quarantine;
     return {
         quarantine: id,
         segments,
+        workspace,
         round,
         crashes,
         ageMs: Math.round(nowMs - sinceMs),
--- a/packages/schema/src/gatewayPeer.ts
+++ b/packages/schema/src/gatewayPeer.ts
@@ -79,8 +79,11 @@
 });
 export type ProbeReport = z.infer<typeof ProbeReport>;
 
-/** Segments of one prompt, without the last one. */
-const Prompt = z.array(z.string().max(64)).max(64);
+const Segments = z.array(z.string().max(64)).max(64);
+
+/** The segments of one prompt without the last one, and whose it is; an empty workspace stands for callers without one. */
+export const Prompt = z.object({ workspace: z.string(), segments: Segments });
+export type Prompt = z.infer<typeof Prompt>;
 
 /** The end of an upstream, and the prompts of requests that it had not begun to answer. */
 export const CrashReport = z.object({
@@ -104,7 +107,9 @@
 /** A quarantine: requests whose prompt has all of its segments are held back. */
 export const QuarantineRecord = z.object({
     scope: z.string(),
-    segments: Prompt,
+    segments: Segments,
+    /** The workspace whose requests alone are held back; those of all if there is none. */
+    workspace: z.string().optional(),
     /** Counts how often the quarantine was imposed. */
     round: z.number().int(),
     isLifted: z.boolean(),
