--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -95,6 +95,7 @@
                     get(url.searchParams, response);
                 }
                 else if (url.pathname === "/rattanquay/rows-feed") {
+                    access.feeds[url.searchParams.get("table")] = performance.now();
                     feed(url.searchParams, response);
                 }
                 else if (url.pathname === "/rattanquay/rows-tx") {
@@ -108,9 +109,12 @@
         });
     };
     return {
-        /** Opens a path for one process of the system; `access.mode` is serves, busy or silent. */
+        /**
+         * Opens a path for one process of the system; `access.mode` is serves, busy or silent, and `access.feeds` says
+         * when the process last began to wait for changes of each table.
+         */
         open: async () => {
-            const access = { mode: "serves", delayMs: 4 };
+            const access = { mode: "serves", delayMs: 4, feeds: {} };
             const server = createServer((request, response) => serve(access, request, response));
             await new Promise(resolve => server.listen(0, host, resolve));
             servers.push(server);
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -9,6 +9,7 @@
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
+import { startProxy } from "./proxy.mjs";
 
 const root = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 const zones = { "zone-a": "region", "zone-b": "region", "zone-c": "region" };
@@ -96,14 +97,14 @@
 export async function startSystem({ store, places, note = () => undefined, restartMs = 500 }) {
     const folder = mkdtempSync(join(tmpdir(), "review-"));
     const [command, ...args] = deployCommand();
-    const frontend = await freePort("127.0.0.1");
     const nodes = [];
     for (const [index, zone] of places.entries()) {
         const ip = await loopbackAddress(index);
         const ports = { frontend: await freePort(ip), ready: await freePort(ip), control: await freePort(ip) };
-        nodes.push({ name: `edge-${zone}-${index + 1}`, zone, ip, ports, ...await store.open() });
+        const path = await store.open();
+        const proxy = await startProxy(path.address);
+        nodes.push({ name: `edge-${zone}-${index + 1}`, zone, ip, ports, access: path.access, address: proxy.address, storeProxy: proxy });
     }
-    void frontend;
     const seeds = nodes.slice(0, 3).map(({ ip, ports }) => `${ip}:${ports.control}`);
     let isStopping = false;
     const start = (node, bootstrap) => {
@@ -128,7 +129,8 @@
         child.stderr.on("data", keep);
         child.on("exit", (code, signal) => {
             const isOwn = !isStopping && !node.isEndExpected;
-            node.ends.push({ code, signal, isOwn });
+            const lastWords = /"error":"([^"\\]*)/.exec(node.output.join("").split("\n").filter(line => line.includes("invariantBroken")).at(-1) ?? "")?.[1];
+            node.ends.push({ code, signal, isOwn, lastWords });
             if (isOwn) {
                 note(`process ${name} ended by itself, code ${code}, signal ${signal}`);
             }
@@ -165,6 +167,7 @@
                     await new Promise(resolve => child.on("exit", resolve));
                 }
             }
+            nodes.forEach(({ storeProxy }) => storeProxy.close());
             rmSync(folder, { recursive: true, force: true });
         },
     };
