--- a/review/lib/busyReplica.mjs
+++ b/review/lib/busyReplica.mjs
@@ -60,7 +60,7 @@
     };
     const server = createServer((request, response) => {
         const extra = due.get(request.socket);
-        if (extra !== undefined) {
+        if (extra !== undefined && hasExtras) {
             due.delete(request.socket);
             note(`replica ${id} sends the copy where the answer to ${request.headers["attempt-id"]} is expected`);
             request.socket.write(extra);
