--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,27 +1,40 @@
-/** The spoiled answers have a right head, and a body that goes on without end until the caller closes. */
+/**
+ * Another writer puts an entry under `servers/`: several fields are missing, and its name is no name of a replica. The
+ * entry stays. The replicas and the clients are sound.
+ */
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
-import { runCase } from "../lib/case.mjs";
-import { headersOf, soundBody } from "../lib/replica.mjs";
-import { playSpoiled } from "../lib/spoiledAnswers.mjs";
+import { hasTrouble, runCase } from "../lib/case.mjs";
+import { engineService, startEngine } from "../lib/engine.mjs";
+import { playKeptClients } from "../lib/keptClients.mjs";
+import { sleep } from "../lib/system.mjs";
 
-const blockBytes = 32_768;
-const blockEveryMs = 4;
+const service = "models";
+const troubleMs = 8_000;
+/** The pages call keys of rows texts of at most 200 bytes. */
+const foreignKey = "replică-de-probă";
 
-/** 8 MB a second, an eighth of a machine's link. */
-function endlessAnswer(request, response) {
-    response.writeHead(200, headersOf(request));
-    response.write(soundBody(request));
-    let isBlocked = false;
-    const timer = setInterval(() => {
-        if (!isBlocked) {
-            isBlocked = !response.write("A".repeat(blockBytes));
-        }
-    }, blockEveryMs);
-    response.on("drain", () => {
-        isBlocked = false;
-    });
-    response.on("close", () => clearInterval(timer));
-}
-
-await runCase(dirname(fileURLToPath(import.meta.url)), playSpoiled(endlessAnswer));
+await runCase(
+    dirname(fileURLToPath(import.meta.url)),
+    playKeptClients({
+        extraServices: [engineService(service)],
+        prepare: async ({ store, note, atEnd }) => {
+            for (const id of ["e-1", "e-2"]) {
+                const engine = await startEngine({ id, service, zone: "zone-a", store, note });
+                atEnd(engine.close);
+            }
+        },
+        isSound: () => true,
+        disturb: async ({ store, note }) => {
+            if (hasTrouble) {
+                // `version`, `cold_remaining_ms`, `phase` and `sequence` are missing.
+                const entry = {
+                    service, address: "127.0.0.1:9", zone: "zone-a", slots: 12, state: "ready", born: 1_765_000_000_000,
+                };
+                store.put("servers", foreignKey, entry);
+                note(`another writer has put servers/${foreignKey}: ${JSON.stringify(entry)}`);
+            }
+            await sleep(troubleMs);
+        },
+    }),
+);
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,24 +1,27 @@
-/** The spoiled answers are bytes that are no response: a status line or a header line that HTTP does not know. */
+/** The spoiled answers have a right head, and a body that goes on without end until the caller closes. */
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { runCase } from "../lib/case.mjs";
 import { headersOf, soundBody } from "../lib/replica.mjs";
 import { playSpoiled } from "../lib/spoiledAnswers.mjs";
 
-const linesOf = headers => Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+const blockBytes = 32_768;
+const blockEveryMs = 4;
 
-/** In turn a status below 100, and a name of a header with a space in it. */
-const spoiledHeads = [
-    { status: "HTTP/1.1 000 OK", header: "" },
-    { status: "HTTP/1.1 200 OK", header: "replica load: 1,0,6\r\n" },
-];
-
-function noResponse(request, response, count) {
-    const { status, header } = spoiledHeads[count % spoiledHeads.length];
-    const body = soundBody(request);
-    const { socket } = response;
-    socket.write(`${status}\r\n${linesOf(headersOf(request))}${header}content-length: ${body.length}\r\n\r\n${body}`);
-    socket.end();
+/** 8 MB a second, an eighth of a machine's link. */
+function endlessAnswer(request, response) {
+    response.writeHead(200, headersOf(request));
+    response.write(soundBody(request));
+    let isBlocked = false;
+    const timer = setInterval(() => {
+        if (!isBlocked) {
+            isBlocked = !response.write("A".repeat(blockBytes));
+        }
+    }, blockEveryMs);
+    response.on("drain", () => {
+        isBlocked = false;
+    });
+    response.on("close", () => clearInterval(timer));
 }
 
-await runCase(dirname(fileURLToPath(import.meta.url)), playSpoiled(noResponse));
+await runCase(dirname(fileURLToPath(import.meta.url)), playSpoiled(endlessAnswer));
--- a/review/lib/spoiledAnswers.mjs
+++ b/review/lib/spoiledAnswers.mjs
@@ -1,98 +1,37 @@
-/**
- * The play of the cases in which one of three replicas spoils 2 in 100 of its answers for some seconds, while clients send
- * lookups and orders over kept connections. It looks for requests that were passed on from a kept connection to a sound
- * replica and whose connection was closed without an answer, and for processes that ended by themselves.
- */
-import { Agent } from "node:http";
-import { hasTrouble, plainConfig } from "./case.mjs";
-import { soundAnswer, startReplica } from "./replica.mjs";
-import { startStore } from "./store.mjs";
-import { isReady, send, sleep, startSystem, waitUntil } from "./system.mjs";
+/** The play of the cases in which one of three replicas spoils 2 in 100 of its answers for some seconds. */
+import { hasTrouble } from "./case.mjs";
+import { playKeptClients } from "./keptClients.mjs";
+import { soundAnswer } from "./replica.mjs";
+import { sleep } from "./system.mjs";
 
 const workMs = 60;
-const clientsPerProcess = 12;
 const troubleMs = 5_500;
 /** One answer in so many is spoiled: 2 in 100. */
 const spoiledEvery = 50;
-/** More of such requests than this break LOST. */
-const allowedLost = 3;
 
-export const playSpoiled = spoil => async ({ note, atEnd }) => {
-    const store = await startStore();
-    atEnd(store.close);
-    const replicas = [];
-    for (const [index, zone] of ["zone-a", "zone-b", "zone-c"].entries()) {
-        const replica = await startReplica({ id: `i-${index + 1}`, service: "register", zone, workMs, note });
-        replicas.push(replica);
-        store.put("servers", replica.id, replica.entry());
-        atEnd(replica.close);
-    }
-    store.put("op", "config", plainConfig(7));
-    const system = await startSystem({ store, places: ["zone-a", "zone-b"], note });
-    atEnd(system.stop);
-    await waitUntil(async () => (await Promise.all(system.nodes.map(isReady))).every(Boolean), 15_000, "readiness");
-    note("all processes are ready");
-
-    let isOver = false;
-    const results = [];
-    const client = async node => {
-        const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-        for (let count = 0; !isOver; count++) {
-            const isOrder = count % 3 === 2;
-            const result = await send(node, {
-                path: isOrder ? "/order/1" : "/lookup/1",
-                method: isOrder ? "POST" : "GET",
-                agent,
-            });
-            results.push({ ...result, isKept: count > 0, isOrder });
-            note(
-                `client of ${node.name}: ${result.attempt} ${isOrder ? "order" : "lookup"} -> `
-                    + `${result.status === 0 ? "closed without an answer" : result.status}, `
-                    + `${result.body.length} bytes, ${result.isWhole ? "whole" : "not whole"}, ${result.ms} ms`,
-            );
-            if (result.status === 0) {
-                await sleep(100);
-            }
-        }
-        agent.destroy();
-    };
-    const clients = system.nodes.flatMap(node => Array.from({ length: clientsPerProcess }, () => client(node)));
-    await sleep(4_000);
-    let answers = 0;
-    let spoiled = 0;
-    if (hasTrouble) {
-        note(`replica ${replicas[0].id} begins to spoil answers`);
-        const sound = soundAnswer(workMs);
-        replicas[0].answer = (request, response) => {
-            answers++;
-            if (answers % spoiledEvery === 0) {
-                spoiled++;
-                note(`replica ${replicas[0].id} spoils its answer to ${request.headers["attempt-id"]}`);
-                spoil(request, response, spoiled);
-                return;
+/** `spoil` answers one request wrongly; it gets the number of the spoiled answer. */
+export const playSpoiled = spoil =>
+    playKeptClients({
+        isSound: (replica, index) => index > 0,
+        disturb: async ({ replicas: [spoiling], note }) => {
+            const sound = soundAnswer(workMs);
+            let answers = 0;
+            let spoiled = 0;
+            if (hasTrouble) {
+                note(`replica ${spoiling.id} begins to spoil answers`);
+                spoiling.answer = (request, response) => {
+                    answers++;
+                    if (answers % spoiledEvery === 0) {
+                        spoiled++;
+                        note(`replica ${spoiling.id} spoils its answer to ${request.headers["attempt-id"]}`);
+                        spoil(request, response, spoiled);
+                        return;
+                    }
+                    sound(request, response);
+                };
             }
-            sound(request, response);
-        };
-    }
-    await sleep(troubleMs);
-    replicas[0].answer = soundAnswer(workMs);
-    note(`the trouble is over: ${spoiled} of ${answers} answers of one of three replicas were spoiled`);
-    await sleep(3_000);
-    isOver = true;
-    await Promise.all(clients);
-
-    return system.nodes.flatMap(node => {
-        const own = node.ends.filter(({ isOwn }) => isOwn);
-        // Passed on from a kept connection to a sound replica, and closed without an answer.
-        const lost = results.filter(({ node: name, status, isKept, attempt }) =>
-            name === node.name && status === 0 && isKept
-            && replicas.slice(1).some(({ runs }) => runs.some(run => run.attempt === attempt))
-        );
-        const orders = lost.filter(({ isOrder }) => isOrder).length;
-        note(`${node.name} ended by itself ${own.length} times; kept requests at sound replicas that were lost: ${lost.length}, ${orders} of them orders`);
-        own.forEach(({ code, lastWords }) => note(`${node.name} ended with code ${code}; its last words: ${lastWords}`));
-        return lost.length > allowedLost
-            ? [`LOST: ${node.name} ended by itself and closed ${lost.length} kept connections without an answer`]
-            : [];
+            await sleep(troubleMs);
+            spoiling.answer = sound;
+            note(`the trouble is over: ${spoiled} of ${answers} answers of one of three replicas were spoiled`);
+        },
     });
-};
