--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -9,7 +9,7 @@
 import { hasTrouble, plainConfig, runCase } from "../lib/case.mjs";
 import { headersOf, startReplica } from "../lib/replica.mjs";
 import { startStore } from "../lib/store.mjs";
-import { isReady, sleep, startSystem, waitUntil } from "../lib/system.mjs";
+import { sleep, startSystem, waitUntilReady } from "../lib/system.mjs";
 
 const clients = 8;
 /** The balancer asks once a second and takes a process out after two misses. */
@@ -95,8 +95,7 @@
     store.put("op", "config", plainConfig(7, { extraRoutes: [draftRoute] }));
     const system = await startSystem({ store, places: ["zone-a", "zone-b"], note });
     atEnd(system.stop);
-    await waitUntil(async () => (await Promise.all(system.nodes.map(isReady))).every(Boolean), 15_000, "readiness");
-    note("all processes are ready");
+    await waitUntilReady(system, note);
     await sleep(3_000);
 
     const [node] = system.nodes;
--- a/review/lib/keptClients.mjs
+++ b/review/lib/keptClients.mjs
@@ -7,7 +7,7 @@
 import { plainConfig } from "./case.mjs";
 import { startReplica } from "./replica.mjs";
 import { startStore } from "./store.mjs";
-import { isReady, send, sleep, startSystem, waitUntil } from "./system.mjs";
+import { send, sleep, startSystem, waitUntilReady } from "./system.mjs";
 
 const workMs = 60;
 const clientsPerProcess = 12;
@@ -32,8 +32,7 @@
     await prepare?.({ store, note, atEnd });
     const system = await startSystem({ store, places: ["zone-a", "zone-b"], note });
     atEnd(system.stop);
-    await waitUntil(async () => (await Promise.all(system.nodes.map(isReady))).every(Boolean), 15_000, "readiness");
-    note("all processes are ready");
+    await waitUntilReady(system, note);
 
     let isOver = false;
     const results = [];
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -22,6 +22,16 @@
     return /^run = "(.*)"$/m.exec(text)[1].split(" ");
 }
 
+/** Three different ports: one that was free a moment ago may be given out again. */
+async function freePorts(host) {
+    const found = new Set();
+    while (found.size < 3) {
+        found.add(await freePort(host));
+    }
+    const [frontend, ready, control] = found;
+    return { frontend, ready, control };
+}
+
 function freePort(host) {
     return new Promise((resolve, reject) => {
         const server = createServer();
@@ -100,7 +110,7 @@
     const nodes = [];
     for (const [index, zone] of places.entries()) {
         const ip = await loopbackAddress(index);
-        const ports = { frontend: await freePort(ip), ready: await freePort(ip), control: await freePort(ip) };
+        const ports = await freePorts(ip);
         const path = await store.open();
         const proxy = await startProxy(path.address);
         nodes.push({ name: `edge-${zone}-${index + 1}`, zone, ip, ports, access: path.access, address: proxy.address, storeProxy: proxy });
@@ -187,6 +197,21 @@
     });
 }
 
+/** Waits until all processes say that they are ready; if not, what they wrote is kept in the record. */
+export async function waitUntilReady(system, note) {
+    try {
+        const areReady = async () => (await Promise.all(system.nodes.map(isReady))).every(Boolean);
+        await waitUntil(areReady, 15_000, "readiness");
+    }
+    catch (error) {
+        system.nodes.forEach(({ name, ip, ports, ends, output }) =>
+            note(`${name} at ${ip} ${JSON.stringify(ports)}, ends ${JSON.stringify(ends)}, wrote ${output.join("").slice(-3_000)}`)
+        );
+        throw error;
+    }
+    note("all processes are ready");
+}
+
 export async function waitUntil(isTrue, limitMs, what) {
     const endAt = performance.now() + limitMs;
     while (performance.now() < endAt) {
