--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -29,7 +29,12 @@
             if (hasTrouble) {
                 // `version`, `cold_remaining_ms`, `phase` and `sequence` are missing.
                 const entry = {
-                    service, address: "127.0.0.1:9", zone: "zone-a", slots: 12, state: "ready", born: 1_765_000_000_000,
+                    service,
+                    address: "127.0.0.1:9",
+                    zone: "zone-a",
+                    slots: 12,
+                    state: "ready",
+                    born: 1_765_000_000_000,
                 };
                 store.put("servers", foreignKey, entry);
                 note(`another writer has put servers/${foreignKey}: ${JSON.stringify(entry)}`);
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -110,8 +110,7 @@
         new Promise((resolve, reject) => {
             const socket = connect(node.ports.frontend, node.ip, () => resolve(socket));
             socket.on("error", error => reject(error));
-        })
-    ));
+        })));
     sockets.forEach(socket => {
         socket.removeAllListeners("error");
         socket.on("error", () => undefined);
@@ -124,7 +123,11 @@
         const result = await sendDraft(socket, attempt);
         const hasRun = replicas.some(({ runs }) => runs.some(run => run.attempt === attempt));
         const endedAt = sinceStart();
-        note(`${attempt}: ${hasRun ? "passed on" : "not passed on"}, status ${result.status}, ${result.events} of ${events} events, ${result.ending}, ${endedAt} ms after SIGTERM`);
+        note(
+            `${attempt}: ${
+                hasRun ? "passed on" : "not passed on"
+            }, status ${result.status}, ${result.events} of ${events} events, ${result.ending}, ${endedAt} ms after SIGTERM`,
+        );
         return { ...result, attempt, hasRun, endedAt };
     }));
     if (results.some(({ status, ending }) => status === 0 && ending === "no end in time")) {
--- a/review/lib/busyReplica.mjs
+++ b/review/lib/busyReplica.mjs
@@ -96,8 +96,17 @@
         },
         counts: () => ({ answers, extras, shed }),
         entry: () => ({
-            service, address, zone, version: "v1", slots, state: "ready", cold_remaining_ms: 0, phase: "mixed",
-            models: [], sequence: 1, born,
+            service,
+            address,
+            zone,
+            version: "v1",
+            slots,
+            state: "ready",
+            cold_remaining_ms: 0,
+            phase: "mixed",
+            models: [],
+            sequence: 1,
+            born,
         }),
         close: () => {
             server.close();
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -16,11 +16,26 @@
     protocol: "h1",
     tls: false,
     inference_engine: {
-        slots: 12, kv_capacity_tokens: 1312941, kv_token_bytes: 136362, link_mbps: 400000, stride: 5,
+        slots: 12,
+        kv_capacity_tokens: 1312941,
+        kv_token_bytes: 136362,
+        link_mbps: 400000,
+        stride: 5,
         models: [{ name: "m2", size: 2, share: 1, pace: 0.6, load_time_s: 12, warmup_s: 1.1 }],
-        step_ms: 7.8, per_seq_ms: 0.134, context_per_k: 0.0136, read_per_s: 45900, pairs_per_m: 0.433, chunk: 2048,
-        report_lag_ms: 200, loads_per_s: 5, loads_at_once: 7, delays: [], usual: { prompt: 979, answer: 154 },
-        kept_model_count: 1, far_x: 2.5, formation_ms: 300,
+        step_ms: 7.8,
+        per_seq_ms: 0.134,
+        context_per_k: 0.0136,
+        read_per_s: 45900,
+        pairs_per_m: 0.433,
+        chunk: 2048,
+        report_lag_ms: 200,
+        loads_per_s: 5,
+        loads_at_once: 7,
+        delays: [],
+        usual: { prompt: 979, answer: 154 },
+        kept_model_count: 1,
+        far_x: 2.5,
+        formation_ms: 300,
     },
 });
 
@@ -39,8 +54,20 @@
         group === undefined ? null : { name: group.name, epoch: group.epoch, rank: group.rank, state: group.state };
     const register = () =>
         store.put("servers", id, {
-            service, address, zone, version: "v1", slots: 12, state: "ready", cold_remaining_ms: 0, phase: "mixed",
-            models: models(), sequence, born, failure_domain: `domain-${zone}`, staged, group: shown(),
+            service,
+            address,
+            zone,
+            version: "v1",
+            slots: 12,
+            state: "ready",
+            cold_remaining_ms: 0,
+            phase: "mixed",
+            models: models(),
+            sequence,
+            born,
+            failure_domain: `domain-${zone}`,
+            staged,
+            group: shown(),
         });
     const change = next => {
         group = next;
@@ -72,7 +99,10 @@
             if (group.state === "open") {
                 return 200;
             }
-            setTimeout(() => isOwn(order) && group.state === "ready" && change({ ...group, state: "open" }), formationMs);
+            setTimeout(
+                () => isOwn(order) && group.state === "ready" && change({ ...group, state: "open" }),
+                formationMs,
+            );
             return 202;
         },
         close: order => {
@@ -114,7 +144,16 @@
             }
             else if (request.url === reportPath) {
                 const counts = { queued: 0, active: 0, kv_used: 0, kv_total: 90000, kv_handles: 0, pace: 1 };
-                reply(200, { phase: "mixed", models: models(), busy: false, sequence, born, group: shown(), staged, ...counts });
+                reply(200, {
+                    phase: "mixed",
+                    models: models(),
+                    busy: false,
+                    sequence,
+                    born,
+                    group: shown(),
+                    staged,
+                    ...counts,
+                });
             }
             else if (request.url === orderPath) {
                 const order = JSON.parse(Buffer.concat(chunks).toString());
--- a/review/lib/keptClients.mjs
+++ b/review/lib/keptClients.mjs
@@ -75,7 +75,9 @@
             `${node.name} ended by itself ${own.length} times; `
                 + `kept requests at sound replicas that were lost: ${lost.length}, ${orders} of them orders`,
         );
-        own.forEach(({ code, lastWords }) => note(`${node.name} ended with code ${code}; its last words: ${lastWords}`));
+        own.forEach(({ code, lastWords }) =>
+            note(`${node.name} ended with code ${code}; its last words: ${lastWords}`)
+        );
         return lost.length > allowedLost
             ? [`LOST: ${node.name} ended by itself and closed ${lost.length} kept connections without an answer`]
             : [];
--- a/review/lib/proxy.mjs
+++ b/review/lib/proxy.mjs
@@ -29,9 +29,10 @@
     return {
         address: `${host}:${server.address().port}`,
         /** From now on nothing passes over the connections that are open. */
-        silence: () => pairs.forEach(pair => {
-            pair.isSilent = true;
-        }),
+        silence: () =>
+            pairs.forEach(pair => {
+                pair.isSilent = true;
+            }),
         close: () => {
             server.close();
             pairs.forEach(({ near, far }) => {
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -68,19 +68,58 @@
         discovery: "platform",
         entry_point: "virtual_ip",
         heartbeat_ms: 1200,
-        contracts: ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "gangs"],
+        contracts: [
+            "base",
+            "drain",
+            "config",
+            "cost",
+            "retry",
+            "recover",
+            "engine",
+            "stream",
+            "tenants",
+            "platform",
+            "gangs",
+        ],
         fault_tolerance: { machines: 2, zones: 1, regions: 0 },
         bounds: {
-            seed_lag_s: 3, reuse_after_s: 2, contact_ms: 3000, ack_timeout_ms: 4000, catch_up_s: 4, drain_ms: 2000,
-            grace_period_s: 8, loss_slack_ms: 200, config_apply_ms: 2000, rollback_slack_ms: 250, outer_bound_ms: 5000,
-            revoke_partitioned: false, revoke_ms: 5000, retry_budget_ratio: 0.2, budget_window_s: 10,
-            retry_budget_extra: 225, recovery_s: 12, event_delay_ms: 120, retry_after_s: 0, stall_ms: 4000,
-            fencing_enabled: false, ceiling_window_s: 5, load_burst_factor: 1.1,
+            seed_lag_s: 3,
+            reuse_after_s: 2,
+            contact_ms: 3000,
+            ack_timeout_ms: 4000,
+            catch_up_s: 4,
+            drain_ms: 2000,
+            grace_period_s: 8,
+            loss_slack_ms: 200,
+            config_apply_ms: 2000,
+            rollback_slack_ms: 250,
+            outer_bound_ms: 5000,
+            revoke_partitioned: false,
+            revoke_ms: 5000,
+            retry_budget_ratio: 0.2,
+            budget_window_s: 10,
+            retry_budget_extra: 225,
+            recovery_s: 12,
+            event_delay_ms: 120,
+            retry_after_s: 0,
+            stall_ms: 4000,
+            fencing_enabled: false,
+            ceiling_window_s: 5,
+            load_burst_factor: 1.1,
         },
         platform: {
-            address: storeAddress, form: "table", writes_per_s: 400, reads_per_s: 2000, transaction_ms: 5,
-            partition_writes_s: 200, max_row_bytes: 65536, cross_partition: false, history_s: 20,
-            max_blob_bytes: 8388608, blob_ms: 25, blob_mb_s: 80,
+            address: storeAddress,
+            form: "table",
+            writes_per_s: 400,
+            reads_per_s: 2000,
+            transaction_ms: 5,
+            partition_writes_s: 200,
+            max_row_bytes: 65536,
+            cross_partition: false,
+            history_s: 20,
+            max_blob_bytes: 8388608,
+            blob_ms: 25,
+            blob_mb_s: 80,
         },
     };
 }
@@ -113,7 +152,15 @@
         const ports = await freePorts(ip);
         const path = await store.open();
         const proxy = await startProxy(path.address);
-        nodes.push({ name: `edge-${zone}-${index + 1}`, zone, ip, ports, access: path.access, address: proxy.address, storeProxy: proxy });
+        nodes.push({
+            name: `edge-${zone}-${index + 1}`,
+            zone,
+            ip,
+            ports,
+            access: path.access,
+            address: proxy.address,
+            storeProxy: proxy,
+        });
     }
     const seeds = nodes.slice(0, 3).map(({ ip, ports }) => `${ip}:${ports.control}`);
     let isStopping = false;
@@ -139,7 +186,9 @@
         child.stderr.on("data", keep);
         child.on("exit", (code, signal) => {
             const isOwn = !isStopping && !node.isEndExpected;
-            const lastWords = /"error":"([^"\\]*)/.exec(node.output.join("").split("\n").filter(line => line.includes("invariantBroken")).at(-1) ?? "")?.[1];
+            const lastWords = /"error":"([^"\\]*)/.exec(
+                node.output.join("").split("\n").filter(line => line.includes("invariantBroken")).at(-1) ?? "",
+            )?.[1];
             node.ends.push({ code, signal, isOwn, lastWords });
             if (isOwn) {
                 note(`process ${name} ended by itself, code ${code}, signal ${signal}`);
@@ -186,7 +235,13 @@
 /** Whether the process answers the platform's question for readiness with 200. */
 export function isReady({ ip, ports }) {
     return new Promise(resolve => {
-        const request = httpRequest({ host: ip, port: ports.ready, path: "/rattanquay/readyz", agent: false, timeout: 900 });
+        const request = httpRequest({
+            host: ip,
+            port: ports.ready,
+            path: "/rattanquay/readyz",
+            agent: false,
+            timeout: 900,
+        });
         request.on("response", response => {
             response.resume();
             resolve(response.statusCode === 200);
@@ -205,7 +260,11 @@
     }
     catch (error) {
         system.nodes.forEach(({ name, ip, ports, ends, output }) =>
-            note(`${name} at ${ip} ${JSON.stringify(ports)}, ends ${JSON.stringify(ends)}, wrote ${output.join("").slice(-3_000)}`)
+            note(
+                `${name} at ${ip} ${JSON.stringify(ports)}, ends ${JSON.stringify(ends)}, wrote ${
+                    output.join("").slice(-3_000)
+                }`,
+            )
         );
         throw error;
     }
@@ -233,7 +292,10 @@
  * One attempt of a client, on a new connection or on `agent`. Resolves to the status (0 for a connection that was closed
  * or reset), the headers, the body and whether it is whole.
  */
-export function send(node, { path, method = "POST", body = "{}", headers = {}, deadlineMs = 1500, agent = false, key }) {
+export function send(
+    node,
+    { path, method = "POST", body = "{}", headers = {}, deadlineMs = 1500, agent = false, key },
+) {
     const attempt = `${run}${(nextAttempt++).toString(16).padStart(8, "0")}`;
     const sentAt = performance.now();
     return new Promise(resolve => {
