--- a/review/lib/busyReplica.mjs
+++ b/review/lib/busyReplica.mjs
@@ -7,13 +7,14 @@
 
 const host = "127.0.0.1";
 const slots = 6;
-const queueLength = 2;
+/** What a replica queues beyond its slots, unless a case says less. */
+const usualQueueLength = 24;
 /** Extra answers are at most this share of all answers since they began. */
 const extraShare = 0.03;
 
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 
-export async function startBusyReplica({ id, service, zone, workMs = 60, note }) {
+export async function startBusyReplica({ id, service, zone, workMs = 60, queueLength = usualQueueLength, note }) {
     const runs = [];
     const queue = [];
     let running = 0;
