--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -2,6 +2,7 @@
 import { chooseService, type RouteTable } from "@rattanquay/core";
 import { type ServingRoute } from "@rattanquay/schema";
 import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type CallerConnection } from "../listeners";
 import { type CallerRequest } from "../ports";
 import { type AdmittedRequest } from "./admittedRequest";
 import { readBody } from "./body";
@@ -13,6 +14,7 @@
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly caller: CallerRequest;
+    readonly connection: CallerConnection;
     readonly arrivedAtMs: number;
 };
 
@@ -23,11 +25,12 @@
 export async function serveRequest(
     request: IncomingMessage,
     response: ServerResponse,
+    connection: CallerConnection,
     dependencies: ExchangeDependencies,
 ): Promise<void> {
     const { timer, ports } = dependencies.context;
     const caller = ports.requestCodec.readRequest(request);
-    const arrival: Arrival = { request, response, caller, arrivedAtMs: timer.nowMs() };
+    const arrival: Arrival = { request, response, caller, connection, arrivedAtMs: timer.nowMs() };
     const routes = dependencies.clusterState.routes();
     if (routes === undefined) {
         refuseArrival(arrival, "noConfiguration", dependencies, undefined);
@@ -114,11 +117,12 @@
 type RoutingResult = { readonly route?: ServingRoute; readonly version: number | undefined };
 
 function recordEnd(
-    { caller, request, arrivedAtMs }: Arrival,
+    arrival: Arrival,
     outcome: ExchangeOutcome,
     dependencies: ExchangeDependencies,
     routing: RoutingResult,
 ): void {
+    const { caller, request, arrivedAtMs } = arrival;
     const { log, metrics, timer } = dependencies.context;
     const { ending, status } = outcome;
     metrics.requests.inc({ kind: routing.route?.kind ?? "none", ending, status: String(status) });
@@ -129,5 +133,16 @@
         configVersion: routing.version,
         ...outcome,
         durationMs: Math.round(timer.nowMs() - arrivedAtMs),
+        ...stopFields(arrival, dependencies),
     });
 }
+
+/** For a request that ends while the process stops: how late in the stop it came, and on what kind of connection. */
+function stopFields({ connection, arrivedAtMs }: Arrival, { lifetime }: ExchangeDependencies) {
+    const sinceMs = lifetime.stoppingSinceMs();
+    return sinceMs === undefined ? {} : {
+        sinceStopMs: Math.round(arrivedAtMs - sinceMs),
+        connectionAgeMs: Math.round(arrivedAtMs - connection.openedAtMs),
+        connectionRequests: connection.requests,
+    };
+}
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -60,6 +60,7 @@
     private errorAnswer: BufferedAnswer | undefined;
     private currentAttempt: AttemptRun | undefined;
     private cancelTimeout: Cancel = () => undefined;
+    private cancelGiveUp: Cancel = () => undefined;
     private hasEnded = false;
     private firstByteMs: number | undefined;
     private predictedMs: number | undefined;
@@ -73,8 +74,9 @@
     }
 
     start(): void {
-        const { timer } = this.dependencies.context;
+        const { context: { timer }, lifetime } = this.dependencies;
         const { response } = this.admitted;
+        this.cancelGiveUp = lifetime.onGiveUp(() => this.finish("unknown", "processStopped", response.statusCode));
         this.cancelTimeout = timer.after(Math.max(0, this.timeLeftMs()), () => this.runOutOfTime());
         response.on("close", () => {
             if (!response.writableFinished) {
@@ -101,6 +103,7 @@
         }
         this.hasEnded = true;
         this.cancelTimeout();
+        this.cancelGiveUp();
         this.currentAttempt?.abort("the request has ended");
         this.currentAttempt = undefined;
         const { triedUpstreams, firstByteMs, predictedMs } = this;
--- a/packages/gateway/src/exchange/exchangeDependencies.ts
+++ b/packages/gateway/src/exchange/exchangeDependencies.ts
@@ -2,6 +2,7 @@
 import { type PredictionBiases, type SharedRetryBudget } from "@rattanquay/core";
 import { type ClusterState } from "../clusterState";
 import { type GatewayContext } from "../gatewayContext";
+import { type Lifetime } from "../lifetime";
 import { type Quarantine } from "../quarantine";
 import { type UpstreamRegistry } from "../upstreams";
 import { type StallWatch } from "./stallWatch";
@@ -14,6 +15,7 @@
     /** The known number of gateway instances that share the retry budget. */
     readonly instances: () => number;
     readonly stallWatch: StallWatch;
+    readonly lifetime: Lifetime;
     readonly quarantine: Quarantine;
     /** Recent prediction errors by model. */
     readonly biases: PredictionBiases;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,12 +1,18 @@
 /** Starts the components of a gateway process and stops them in order. */
 import { makePredictionBiases, makeSharedRetryBudget } from "@rattanquay/core";
 import { sleep, type Timer } from "@rattanquay/timer";
-import { type IncomingMessage, type ServerResponse } from "node:http";
 import { watchClusterState } from "./clusterState";
 import { type Planning, startPlanning } from "./control";
 import { type ExchangeDependencies, makeStallWatch, serveRequest } from "./exchange";
 import { type GatewayContext } from "./gatewayContext";
-import { type CallerListener, startCallerListener, startMetricsListener, startReadinessListener } from "./listeners";
+import { type Lifetime, makeLifetime } from "./lifetime";
+import {
+    type CallerListener,
+    type Serve,
+    startCallerListener,
+    startMetricsListener,
+    startReadinessListener,
+} from "./listeners";
 import { type Peers, startPeers } from "./peers";
 import { Quarantine } from "./quarantine";
 import { makeUpstreamRegistry } from "./upstreams";
@@ -35,13 +41,13 @@
     const { settings, timer, log, metrics } = context;
     const components: { planning?: Planning; peers?: Peers } = {};
     let requests = 0;
-    let isDraining = false;
     const instances = (): number => Math.max(components.peers?.instances() ?? 0, minInstances);
     const isPlanner = (): boolean => components.planning?.isPlanner() === true;
     const clusterStateWatch = watchClusterState(context, isPlanner);
     const { clusterState } = clusterStateWatch;
     const registry = makeUpstreamRegistry(clusterState);
     const stallWatch = makeStallWatch(timer);
+    const lifetime = makeLifetime();
     const quarantine = new Quarantine(context, registry, () => components.peers?.instances() ?? 1);
     const budget = makeSharedRetryBudget(settings.bounds.repeats);
     const dependencies: ExchangeDependencies = {
@@ -51,16 +57,19 @@
         budget,
         instances,
         stallWatch,
+        lifetime,
         quarantine,
         biases: makePredictionBiases(),
     };
-    const isReady = (): boolean => !isDraining && clusterState.routes() !== undefined && clusterState.hasCompleteList();
+    const isStopping = (): boolean => lifetime.stoppingSinceMs() !== undefined;
+    const isReady = (): boolean =>
+        !isStopping() && clusterState.routes() !== undefined && clusterState.hasCompleteList();
 
     const readinessListener = await startReadinessListener(settings.listeners.readiness, isReady);
     const metricsListener = await startMetricsListener(settings.listeners.metrics, () => metrics.registry.metrics());
-    const serve = (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const serve: Serve = (request, response, connection) => {
         requests++;
-        return serveRequest(request, response, dependencies);
+        return serveRequest(request, response, connection, dependencies);
     };
     const callerListener = await startCallerListener(serve, clusterState, context);
     const peers = await startPeers(context, clusterStateWatch, registry, {
@@ -92,13 +101,13 @@
         registry.stop();
     };
     const stop = async (): Promise<{ readonly cut: number }> => {
-        isDraining = true;
-        log.info("leaving", { inFlight: callerListener.inFlight() });
+        lifetime.beginStop(timer.nowMs());
+        log.info("leaving", { inFlight: callerListener.inFlight(), connections: callerListener.openConnections() });
         const deadlineMs = timer.nowMs() + settings.bounds.graceMs - graceMarginMs;
         // Not awaited: the store may not answer, and finishing callers' requests takes precedence.
         const releases = Promise.all([planning.release(), peers.leave()]);
         releases.catch(error => context.onFatalError("leaving", error));
-        const cut = await drain(callerListener, timer, deadlineMs);
+        const cut = await drain(callerListener, lifetime, timer, deadlineMs);
         kill();
         log.info("stopped", { cut });
         return { cut };
@@ -107,7 +116,12 @@
 }
 
 /** Serves until the load balancer has noticed, then waits for running requests. Resolves to how many were cut off. */
-async function drain(callerListener: CallerListener, timer: Timer, deadlineMs: number): Promise<number> {
+async function drain(
+    callerListener: CallerListener,
+    lifetime: Lifetime,
+    timer: Timer,
+    deadlineMs: number,
+): Promise<number> {
     callerListener.startDraining();
     await sleep(timer, balancerNoticeMs);
     callerListener.closeIdle();
@@ -115,5 +129,7 @@
         await sleep(timer, stopCheckMs);
         callerListener.closeIdle();
     }
-    return callerListener.inFlight();
+    const cut = callerListener.inFlight();
+    lifetime.giveUp();
+    return cut;
 }
--- a/packages/gateway/src/listeners/callerListener.ts
+++ b/packages/gateway/src/listeners/callerListener.ts
@@ -1,5 +1,6 @@
 /** The listener for caller requests. */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import { type Socket } from "node:net";
 import { type ClusterState } from "../clusterState";
 import { type GatewayContext } from "../gatewayContext";
 
@@ -13,7 +14,10 @@
     readonly close: () => void;
 };
 
-export type Serve = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+/** One connection of a caller: when it was opened, on the local clock, and how many requests have come on it. */
+export type CallerConnection = { readonly openedAtMs: number; requests: number };
+
+export type Serve = (request: IncomingMessage, response: ServerResponse, connection: CallerConnection) => Promise<void>;
 
 const defaultHeaderTimeoutMs = 3_000;
 const defaultIdleTimeoutMs = 15_000;
@@ -30,7 +34,7 @@
 ): Promise<CallerListener> {
     const { settings: { listeners: { callers } }, metrics, timer, onFatalError } = context;
     const running = new Set<ServerResponse>();
-    let connections = 0;
+    const connections = new Map<Socket, CallerConnection>();
     let isDraining = false;
     const server = createServer({ connectionsCheckingInterval, requireHostHeader: false }, (request, response) => {
         running.add(response);
@@ -42,13 +46,15 @@
             running.delete(response);
             metrics.inFlight.set(running.size);
         });
-        serve(request, response).catch(error => onFatalError("callerListener", error));
+        const connection = connections.get(request.socket) ?? { openedAtMs: timer.nowMs(), requests: 0 };
+        connection.requests++;
+        serve(request, response, connection).catch(error => onFatalError("callerListener", error));
     });
     server.headersTimeout = defaultHeaderTimeoutMs;
     server.keepAliveTimeout = defaultIdleTimeoutMs;
     server.on("connection", socket => {
-        connections++;
-        socket.once("close", () => connections--);
+        connections.set(socket, { openedAtMs: timer.nowMs(), requests: 0 });
+        socket.once("close", () => connections.delete(socket));
     });
     const cancel = timer.every(timeoutUpdateEveryMs, () => {
         const bounds = clusterState.configuration()?.bounds;
@@ -63,7 +69,7 @@
     });
     return {
         inFlight: () => running.size,
-        openConnections: () => connections,
+        openConnections: () => connections.size,
         startDraining: () => {
             isDraining = true;
             running.forEach(response => {
--- a/packages/gateway/src/listeners/index.ts
+++ b/packages/gateway/src/listeners/index.ts
@@ -1,3 +1,3 @@
 /** HTTP listeners for callers, readiness checks and metrics. */
-export { type CallerListener, startCallerListener } from "./callerListener";
+export { type CallerConnection, type CallerListener, type Serve, startCallerListener } from "./callerListener";
 export { startMetricsListener, startReadinessListener } from "./operatorListeners";
