Take in no request that a stopping process cannot finish

Streams that were sent later than 3 s after SIGTERM, on connections that a stop leaves open, were passed on and cut 7.3 s after it. Cause: a process that stops knew when it would give up, but nothing that takes a request in asked for it. Closing connections was the only guard, and it does not reach an unused connection, one whose answer's head said keep-alive before the stop, or one with a body on its way. Evidence: stopCutsStreams.test.ts with real processes on the code before: 22 streams cut, all sent 3.3 to 5.1 s after SIGTERM and reset at 7.3 to 7.4 s, logged as processStopped with connectionRequests 1 (unused) and 2 (kept). Change: the exchange asks mayTakeIn (core) with the process's remaining life when a request is about to be sent, so also after a slow body. In the notice period a request is refused only if its predicted end lies beyond the process's; later, unless its own time ends before. The refusal is 503 (not run) with Retry-After 0, as any other process can serve it, and the connection closes after it. It does not matter on which connection a request comes: what is checked is the one place that sends.

--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -14,6 +14,7 @@
     noteUncertainOutcome,
 } from "./planningLease";
 export { makePredictionBias, makePredictionBiases, type PredictionBias, type PredictionBiases } from "./predictionBias";
+export { mayTakeIn, type RemainingLife, type RequestSpan } from "./remainingLife";
 export { makeSharedRetryBudget, type RetryBudgetOptions, type SharedRetryBudget } from "./retryBudget";
 export {
     type AttemptCounts,
--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -139,9 +139,9 @@
 
 /** For a request that ends while the process stops: how late in the stop it came, and on what kind of connection. */
 function stopFields({ connection, arrivedAtMs }: Arrival, { lifetime }: ExchangeDependencies) {
-    const sinceMs = lifetime.stoppingSinceMs();
-    return sinceMs === undefined ? {} : {
-        sinceStopMs: Math.round(arrivedAtMs - sinceMs),
+    const stop = lifetime.stop();
+    return stop === undefined ? {} : {
+        sinceStopMs: Math.round(arrivedAtMs - stop.sinceMs),
         connectionAgeMs: Math.round(arrivedAtMs - connection.openedAtMs),
         connectionRequests: connection.requests,
     };
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -11,6 +11,7 @@
     countAttempt,
     endingOfAttempts,
     mayRetryRequest,
+    mayTakeIn,
     noAttemptsYet,
 } from "@rattanquay/core";
 import { type Ending } from "@rattanquay/schema";
@@ -172,6 +173,10 @@
             this.endWithoutSuccess("overloaded");
             return;
         }
+        if (sends.mayHaveRun === 0 && !this.hasTimeInThisProcess(placement)) {
+            this.refuseWith("stopping", 0);
+            return;
+        }
         this.predictedMs ??= Math.round(placement.predictedMs);
         this.triedUpstreams.add(placement.upstream.record.id);
         try {
@@ -183,6 +188,14 @@
         }
     }
 
+    private hasTimeInThisProcess({ predictedEndMs }: Placement): boolean {
+        const { admitted, dependencies: { lifetime, context: { timer } } } = this;
+        const stop = lifetime.stop();
+        const nowMs = timer.nowMs();
+        const expectedEndMs = predictedEndMs === undefined ? undefined : nowMs + predictedEndMs;
+        return stop === undefined || mayTakeIn({ endByMs: admitted.endByMs, expectedEndMs }, stop, nowMs);
+    }
+
     private send(placement: Placement): void {
         const { admitted, dependencies, relay } = this;
         this.currentAttempt = runAttempt({
--- a/packages/gateway/src/exchange/placement.ts
+++ b/packages/gateway/src/exchange/placement.ts
@@ -1,5 +1,6 @@
 /** Chooses the upstream for one attempt from the known state of all candidates. */
-import { chooseUpstream, type PlacementCandidate, predictFirstEventMs } from "@rattanquay/core";
+import { chooseUpstream, forwardPassMs, type PlacementCandidate, predictFirstEventMs } from "@rattanquay/core";
+import { type EngineModel } from "@rattanquay/schema";
 import { type KnownUpstream } from "../upstreams";
 import { type AdmittedRequest } from "./admittedRequest";
 import { type ExchangeDependencies } from "./exchangeDependencies";
@@ -10,6 +11,8 @@
      * Predicted time to the first event: from the engine's published profile, corrected by recent prediction errors.
      */
     readonly predictedMs: number;
+    /** Predicted time to the end of the answer, at the engine's slowest pace. Undefined without a profile. */
+    readonly predictedEndMs: number | undefined;
     /** Records the time to the first event, or a lower bound of it, to correct later predictions. */
     readonly noteFirstEvent: (afterMs: number) => void;
     readonly candidates: number;
@@ -40,9 +43,12 @@
         return undefined;
     }
     const bias = dependencies.biases.of(`${admitted.service.service}/${admitted.caller.model ?? ""}`);
+    const predictedMs = bias.correct(chosen.predictedMs);
+    const answerMs = predictAnswerMs(admitted);
     return {
         upstream,
-        predictedMs: bias.correct(chosen.predictedMs),
+        predictedMs,
+        predictedEndMs: answerMs === undefined ? undefined : predictedMs + answerMs,
         noteFirstEvent: afterMs => bias.observe(chosen.predictedMs, afterMs),
         candidates: candidates.length,
     };
@@ -58,9 +64,24 @@
         : registry.groupHeads(service.service, caller.model ?? "");
 }
 
-function predictorOf({ service, caller }: AdmittedRequest): (candidate: PlacementCandidate) => number {
-    const { engine } = service;
-    const model = engine?.models.find(offered => offered.model === caller.model);
+function modelOf({ service: { engine }, caller }: AdmittedRequest): EngineModel | undefined {
+    return engine?.models.find(offered => offered.model === caller.model);
+}
+
+/** From the first event to the last one, if the answer is as long as the caller allows and all places are taken. */
+function predictAnswerMs(admitted: AdmittedRequest): number | undefined {
+    const { service: { engine }, caller: { maxAnswerTokens, expectedAnswerTokens } } = admitted;
+    const model = modelOf(admitted);
+    if (engine === undefined || model === undefined) {
+        return undefined;
+    }
+    const answerTokens = maxAnswerTokens ?? expectedAnswerTokens ?? engine.usualAnswerTokens;
+    return answerTokens / engine.stepsPerPass * forwardPassMs(engine, model, engine.slots);
+}
+
+function predictorOf(admitted: AdmittedRequest): (candidate: PlacementCandidate) => number {
+    const { service: { engine }, caller } = admitted;
+    const model = modelOf(admitted);
     if (engine === undefined || model === undefined) {
         return ({ load, slots }) => defaultWorkMs * (1 + load / Math.max(1, slots));
     }
--- a/packages/gateway/src/exchange/refusals.ts
+++ b/packages/gateway/src/exchange/refusals.ts
@@ -14,6 +14,11 @@
         ending: "notRun",
         message: "A segment of its prompt has ended the upstreams that answered it; requests with it are held back.",
     },
+    stopping: {
+        status: 503,
+        ending: "notRun",
+        message: "This process stops before it could finish it; the others serve it.",
+    },
     unreadablePath: { status: 400, ending: "notRun", message: "The request's target cannot be passed on." },
     unknownKey: { status: 401, ending: "notRun", message: "The key is missing or unknown." },
     unknownRoute: { status: 404, ending: "notRun", message: "No route matches the host and path." },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,7 @@
 import { type Planning, startPlanning } from "./control";
 import { type ExchangeDependencies, makeStallWatch, serveRequest } from "./exchange";
 import { type GatewayContext } from "./gatewayContext";
-import { type Lifetime, makeLifetime } from "./lifetime";
+import { type Lifetime, makeLifetime, type Stop } from "./lifetime";
 import {
     type CallerListener,
     type Serve,
@@ -19,10 +19,13 @@
 
 export type GatewayOptions = GatewayContext;
 
+/** The number of requests that were cut off at the end of the grace period. */
+export type StopResult = { readonly cut: number };
+
 export type Gateway = {
     readonly isReady: () => boolean;
-    /** Shuts down gracefully. Resolves to the number of requests that were cut off at the end of the grace period. */
-    readonly stop: () => Promise<{ readonly cut: number }>;
+    /** Shuts down gracefully, once: further calls get the same result. */
+    readonly stop: () => Promise<StopResult>;
     /** Stops everything at once, as a crash would; for tests and broken invariants. */
     readonly kill: () => void;
 };
@@ -61,9 +64,8 @@
         quarantine,
         biases: makePredictionBiases(),
     };
-    const isStopping = (): boolean => lifetime.stoppingSinceMs() !== undefined;
     const isReady = (): boolean =>
-        !isStopping() && clusterState.routes() !== undefined && clusterState.hasCompleteList();
+        lifetime.stop() === undefined && clusterState.routes() !== undefined && clusterState.hasCompleteList();
 
     const readinessListener = await startReadinessListener(settings.listeners.readiness, isReady);
     const metricsListener = await startMetricsListener(settings.listeners.metrics, () => metrics.registry.metrics());
@@ -100,19 +102,25 @@
         quarantine.stop();
         registry.stop();
     };
-    const stop = async (): Promise<{ readonly cut: number }> => {
-        lifetime.beginStop(timer.nowMs());
+    const stopOnce = async (): Promise<StopResult> => {
+        const sinceMs = timer.nowMs();
+        const stop: Stop = {
+            sinceMs,
+            noticeEndsAtMs: sinceMs + balancerNoticeMs,
+            endsAtMs: sinceMs + settings.bounds.graceMs - graceMarginMs,
+        };
+        lifetime.beginStop(stop);
         log.info("leaving", { inFlight: callerListener.inFlight(), connections: callerListener.openConnections() });
-        const deadlineMs = timer.nowMs() + settings.bounds.graceMs - graceMarginMs;
         // Not awaited: the store may not answer, and finishing callers' requests takes precedence.
         const releases = Promise.all([planning.release(), peers.leave()]);
         releases.catch(error => context.onFatalError("leaving", error));
-        const cut = await drain(callerListener, lifetime, timer, deadlineMs);
+        const cut = await drain(callerListener, lifetime, timer, stop);
         kill();
         log.info("stopped", { cut });
         return { cut };
     };
-    return { isReady, stop, kill };
+    let stopResult: Promise<StopResult> | undefined;
+    return { isReady, stop: () => stopResult ??= stopOnce(), kill };
 }
 
 /** Serves until the load balancer has noticed, then waits for running requests. Resolves to how many were cut off. */
@@ -120,12 +128,12 @@
     callerListener: CallerListener,
     lifetime: Lifetime,
     timer: Timer,
-    deadlineMs: number,
+    { noticeEndsAtMs, endsAtMs }: Stop,
 ): Promise<number> {
     callerListener.startDraining();
-    await sleep(timer, balancerNoticeMs);
+    await sleep(timer, noticeEndsAtMs - timer.nowMs());
     callerListener.closeIdle();
-    while (callerListener.inFlight() + callerListener.openConnections() > 0 && timer.nowMs() < deadlineMs) {
+    while (callerListener.inFlight() + callerListener.openConnections() > 0 && timer.nowMs() < endsAtMs) {
         await sleep(timer, stopCheckMs);
         callerListener.closeIdle();
     }
--- a/packages/gateway/src/lifetime.ts
+++ b/packages/gateway/src/lifetime.ts
@@ -1,10 +1,16 @@
-/** The end of a process's life: since when it is stopping, and what is still running when it gives up. */
+/** The end of a process's life: what may still be taken in while it stops, and what is given up when its time is over. */
+import { type RemainingLife } from "@rattanquay/core";
 import { type Cancel } from "@rattanquay/timer";
 
+export type Stop = RemainingLife & {
+    /** When the stop began, on the local clock. */
+    readonly sinceMs: number;
+};
+
 export type Lifetime = {
-    readonly beginStop: (nowMs: number) => void;
-    /** When the stop began, on the local clock. Undefined while the process is not stopping. */
-    readonly stoppingSinceMs: () => number | undefined;
+    readonly beginStop: (stop: Stop) => void;
+    /** Undefined while the process is not stopping. */
+    readonly stop: () => Stop | undefined;
     /** Calls `action` when the time to stop is over. */
     readonly onGiveUp: (action: () => void) => Cancel;
     readonly giveUp: () => void;
@@ -12,12 +18,12 @@
 
 export function makeLifetime(): Lifetime {
     const actions = new Set<() => void>();
-    let sinceMs: number | undefined;
+    let begun: Stop | undefined;
     return {
-        beginStop: nowMs => {
-            sinceMs ??= nowMs;
+        beginStop: stop => {
+            begun ??= stop;
         },
-        stoppingSinceMs: () => sinceMs,
+        stop: () => begun,
         onGiveUp: action => {
             actions.add(action);
             return () => actions.delete(action);
