Close the connections of callers by what they serve, not by what Node takes for idle

Cause: closeIdleConnections spares a connection that has carried no request yet, so it stays open until the stop gives up (and Node no longer closes it for an overdue head once the listener is closed), and it closes one whose answer is written but not sent, which throws the rest away. Connections whose answer's head said keep-alive were closed up to 50 ms after its end, and could bring another request until then. Change: callerConnections knows of each connection whether a response is under way, and whether bytes beyond the last request have come. A connection that serves nothing is closed when the process stops listening; any other at the moment its answer has left the process.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -132,12 +132,15 @@
 ): Promise<number> {
     callerListener.startDraining();
     await sleep(timer, noticeEndsAtMs - timer.nowMs());
-    callerListener.closeIdle();
-    while (callerListener.inFlight() + callerListener.openConnections() > 0 && timer.nowMs() < endsAtMs) {
-        await sleep(timer, stopCheckMs);
-        callerListener.closeIdle();
-    }
+    callerListener.stopListening();
+    await waitUntilClosed(callerListener, timer, endsAtMs);
     const cut = callerListener.inFlight();
     lifetime.giveUp();
     return cut;
 }
+
+async function waitUntilClosed({ openConnections }: CallerListener, timer: Timer, untilMs: number): Promise<void> {
+    while (openConnections() > 0 && timer.nowMs() < untilMs) {
+        await sleep(timer, stopCheckMs);
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/listeners/callerConnections.ts
@@ -0,0 +1,76 @@
+/**
+ * Tracks the connections of callers, and closes them when they serve nothing.
+ *
+ * Node's `closeIdleConnections` spares connections that have carried no request yet, and closes those whose answer is
+ * written but not sent.
+ */
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type Socket } from "node:net";
+
+/** One connection of a caller. */
+export type CallerConnection = {
+    /** On the local clock. */
+    readonly openedAtMs: number;
+    /** The number of requests that have come on it, the current one included. */
+    readonly requests: number;
+};
+
+export type CallerConnections = {
+    readonly add: (socket: Socket) => void;
+    readonly noteRequest: (request: IncomingMessage, response: ServerResponse) => CallerConnection;
+    readonly count: () => number;
+    /** Responses of which a part has not left this process yet. */
+    readonly running: () => ReadonlySet<ServerResponse>;
+    /** Closes the connections that serve nothing, and the others as soon as they do. */
+    readonly closeWhenIdle: () => void;
+};
+
+type TrackedConnection = {
+    readonly openedAtMs: number;
+    requests: number;
+    running: number;
+    /** How many bytes had been received when the last request was complete; any beyond them begin another. */
+    bytesServed: number;
+};
+
+export function makeCallerConnections(nowMs: () => number): CallerConnections {
+    const connections = new Map<Socket, TrackedConnection>();
+    const running = new Set<ServerResponse>();
+    let isClosing = false;
+    const add = (socket: Socket): TrackedConnection => {
+        const connection = { openedAtMs: nowMs(), requests: 0, running: 0, bytesServed: 0 };
+        connections.set(socket, connection);
+        socket.once("close", () => connections.delete(socket));
+        return connection;
+    };
+    const closeIfIdle = (socket: Socket, connection: TrackedConnection): void => {
+        if (isClosing && connection.running === 0 && socket.bytesRead === connection.bytesServed) {
+            socket.destroy();
+        }
+    };
+    return {
+        add,
+        noteRequest: (request, response) => {
+            const { socket } = request;
+            const connection = connections.get(socket) ?? add(socket);
+            connection.requests++;
+            connection.running++;
+            running.add(response);
+            response.once("close", () => {
+                connection.running--;
+                running.delete(response);
+                if (request.complete) {
+                    connection.bytesServed = socket.bytesRead;
+                }
+                closeIfIdle(socket, connection);
+            });
+            return connection;
+        },
+        count: () => connections.size,
+        running: () => running,
+        closeWhenIdle: () => {
+            isClosing = true;
+            connections.forEach((connection, socket) => closeIfIdle(socket, connection));
+        },
+    };
+}
--- a/packages/gateway/src/listeners/callerListener.ts
+++ b/packages/gateway/src/listeners/callerListener.ts
@@ -1,22 +1,19 @@
 /** The listener for caller requests. */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
-import { type Socket } from "node:net";
 import { type ClusterState } from "../clusterState";
 import { type GatewayContext } from "../gatewayContext";
+import { type CallerConnection, makeCallerConnections } from "./callerConnections";
 
 export type CallerListener = {
     readonly inFlight: () => number;
     readonly openConnections: () => number;
-    /** Closes connections after their current response, so that callers reconnect elsewhere. */
+    /** Asks callers to reconnect elsewhere: answers whose head is not written yet say that the connection closes. */
     readonly startDraining: () => void;
-    /** Stops accepting connections and closes idle ones. */
-    readonly closeIdle: () => void;
+    /** Stops accepting connections, and closes each as soon as it serves nothing. */
+    readonly stopListening: () => void;
     readonly close: () => void;
 };
 
-/** One connection of a caller: when it was opened, on the local clock, and how many requests have come on it. */
-export type CallerConnection = { readonly openedAtMs: number; requests: number };
-
 export type Serve = (request: IncomingMessage, response: ServerResponse, connection: CallerConnection) => Promise<void>;
 
 const defaultHeaderTimeoutMs = 3_000;
@@ -33,29 +30,20 @@
     context: GatewayContext,
 ): Promise<CallerListener> {
     const { settings: { listeners: { callers } }, metrics, timer, onFatalError } = context;
-    const running = new Set<ServerResponse>();
-    const connections = new Map<Socket, CallerConnection>();
+    const connections = makeCallerConnections(timer.nowMs);
     let isDraining = false;
     const server = createServer({ connectionsCheckingInterval, requireHostHeader: false }, (request, response) => {
-        running.add(response);
-        metrics.inFlight.set(running.size);
+        const connection = connections.noteRequest(request, response);
+        metrics.inFlight.set(connections.running().size);
         if (isDraining) {
             response.shouldKeepAlive = false;
         }
-        response.once("close", () => {
-            running.delete(response);
-            metrics.inFlight.set(running.size);
-        });
-        const connection = connections.get(request.socket) ?? { openedAtMs: timer.nowMs(), requests: 0 };
-        connection.requests++;
+        response.once("close", () => metrics.inFlight.set(connections.running().size));
         serve(request, response, connection).catch(error => onFatalError("callerListener", error));
     });
     server.headersTimeout = defaultHeaderTimeoutMs;
     server.keepAliveTimeout = defaultIdleTimeoutMs;
-    server.on("connection", socket => {
-        connections.set(socket, { openedAtMs: timer.nowMs(), requests: 0 });
-        socket.once("close", () => connections.delete(socket));
-    });
+    server.on("connection", connections.add);
     const cancel = timer.every(timeoutUpdateEveryMs, () => {
         const bounds = clusterState.configuration()?.bounds;
         if (bounds !== undefined) {
@@ -68,19 +56,19 @@
         server.listen(callers.port, callers.host, resolve);
     });
     return {
-        inFlight: () => running.size,
-        openConnections: () => connections.size,
+        inFlight: () => connections.running().size,
+        openConnections: connections.count,
         startDraining: () => {
             isDraining = true;
-            running.forEach(response => {
+            connections.running().forEach(response => {
                 if (!response.headersSent) {
                     response.shouldKeepAlive = false;
                 }
             });
         },
-        closeIdle: () => {
+        stopListening: () => {
             server.close();
-            server.closeIdleConnections();
+            connections.closeWhenIdle();
         },
         close: () => {
             cancel();
--- a/packages/gateway/src/listeners/index.ts
+++ b/packages/gateway/src/listeners/index.ts
@@ -1,3 +1,4 @@
 /** HTTP listeners for callers, readiness checks and metrics. */
-export { type CallerConnection, type CallerListener, type Serve, startCallerListener } from "./callerListener";
+export { type CallerConnection } from "./callerConnections";
+export { type CallerListener, type Serve, startCallerListener } from "./callerListener";
 export { startMetricsListener, startReadinessListener } from "./operatorListeners";
