Tell callers of what a stopping process gives up

What callers saw: at the end of a stop a request without an answer yet got a closed connection (LOST), and an answer without length or chunks ended by a plain close, as if it were complete (MIXED). Cause: giving up closed the connections under the requests, and no request was told. Connections that are left with an answer under way are reset too.

--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -77,8 +77,8 @@
     start(): void {
         const { context: { timer }, lifetime } = this.dependencies;
         const { response } = this.admitted;
-        this.cancelGiveUp = lifetime.onGiveUp(() => this.finish("unknown", "processStopped", response.statusCode));
-        this.cancelTimeout = timer.after(Math.max(0, this.timeLeftMs()), () => this.runOutOfTime());
+        this.cancelGiveUp = lifetime.onGiveUp(() => this.endWithoutAnswer("processStopped"));
+        this.cancelTimeout = timer.after(Math.max(0, this.timeLeftMs()), () => this.endWithoutAnswer("outOfTime"));
         response.on("close", () => {
             if (!response.writableFinished) {
                 this.finish("callerGone", "callerGone", 0);
@@ -138,13 +138,14 @@
         this.refuseWith(endingOfAttempts(sends) === "unknown" ? "unknownOutcome" : refusedAs);
     }
 
-    private runOutOfTime(): void {
+    /** Ends a request whose time, or whose process's time, is over: `refusal` says so where it may have run. */
+    private endWithoutAnswer(refusal: "outOfTime" | "processStopped"): void {
         if (this.errorAnswer !== undefined && !this.admitted.response.headersSent) {
-            this.endWithoutSuccess("outOfTime");
+            this.endWithoutSuccess(refusal);
             return;
         }
         const isNotRun = this.currentAttempt === undefined && endingOfAttempts(this.sends) === "notRun";
-        this.refuseWith(isNotRun ? "notRun" : "outOfTime");
+        this.refuseWith(isNotRun ? "notRun" : refusal);
     }
 
     /** Ends a request whose prompt is quarantined: as not run, unless an upstream may have run it before. */
--- a/packages/gateway/src/exchange/refusals.ts
+++ b/packages/gateway/src/exchange/refusals.ts
@@ -25,6 +25,11 @@
     bodyTimeout: { status: 408, ending: "notRun", message: "The body did not arrive in time." },
     bodyTooLarge: { status: 413, ending: "notRun", message: "The body is larger than allowed." },
     unknownOutcome: { status: 502, ending: "unknown", message: "It may have run, and no whole answer came." },
+    processStopped: {
+        status: 502,
+        ending: "unknown",
+        message: "This process stopped before the answer was whole; it may have run.",
+    },
     outOfTime: { status: 504, ending: "unknown", message: "No whole answer came in time; it may have run." },
 } as const satisfies Record<string, { status: number; ending: Ending; message: string }>;
 
--- a/packages/gateway/src/listeners/__tests__/callerConnections.test.ts
+++ b/packages/gateway/src/listeners/__tests__/callerConnections.test.ts
@@ -112,6 +112,21 @@
             assert.is(isClosed(), true);
         },
     },
+    {
+        name: "MIXED: closing all connections resets those with an answer under way",
+        play: async ({ connections, socket, responses }) => {
+            socket.write(get);
+            socket.resume();
+            await settle();
+            responses[0]!.useChunkedEncodingByDefault = false;
+            responses[0]!.writeHead(200, { connection: "close" });
+            responses[0]!.write("a part");
+            await settle();
+            connections.closeAll();
+            const [error] = await once(socket, "error").catch((thrown: unknown) => [thrown]);
+            assert.is((error as NodeJS.ErrnoException).code, "ECONNRESET");
+        },
+    },
 ];
 
 for (const { name, play } of cases) {
--- a/packages/gateway/src/listeners/callerConnections.ts
+++ b/packages/gateway/src/listeners/callerConnections.ts
@@ -23,6 +23,8 @@
     readonly running: () => ReadonlySet<ServerResponse>;
     /** Closes the connections that serve nothing, and the others as soon as they do. */
     readonly closeWhenIdle: () => void;
+    /** Closes all connections. Those with an answer under way are reset, so that none looks complete. */
+    readonly closeAll: () => void;
 };
 
 type TrackedConnection = {
@@ -72,5 +74,14 @@
             isClosing = true;
             connections.forEach((connection, socket) => closeIfIdle(socket, connection));
         },
+        closeAll: () => {
+            connections.forEach((connection, socket) => {
+                if (connection.running > 0) {
+                    socket.resetAndDestroy();
+                    return;
+                }
+                socket.destroy();
+            });
+        },
     };
 }
--- a/packages/gateway/src/listeners/callerListener.ts
+++ b/packages/gateway/src/listeners/callerListener.ts
@@ -73,7 +73,7 @@
         close: () => {
             cancel();
             server.close();
-            server.closeAllConnections();
+            connections.closeAll();
         },
     };
 }
