Refuse requests that still come to the chat interface after the notice period of a stop

Change: once the notice period is over, requests are refused with notReady (503, not run) and their connection closes. Evidence: the new test of gracefulStop.test.ts failed before (the request got an answer with 401, so it was taken in) and passes now, one run each beside other runs. Seen besides, in the same runs: the listed test of that file failed twice more, with 1 and 5 of 20 streams refused as overloaded.

--- a/packages/entry/src/callers/callerListener.ts
+++ b/packages/entry/src/callers/callerListener.ts
@@ -26,7 +26,7 @@
 /** Whether the load balancer should send requests here, and whether requests that arrive anyway are served. */
 export type Readiness = {
     readonly isReady: () => boolean;
-    /** Stays true during a graceful shutdown, because the load balancer notices the shutdown late. */
+    /** Stays true during the notice period of a graceful shutdown, because the load balancer notices it late. */
     readonly mayServe: () => boolean;
 };
 
@@ -63,7 +63,7 @@
             return;
         }
         const exchange = makeExchange(request, response, path, processContext, configuration);
-        // A process that is shutting down still serves requests that the load balancer routes to it.
+        // Later in a shutdown, connections that are still open bring requests that could outlast this process.
         const outcome = readiness.mayServe()
             ? await route(exchange, context)
             : sendError(exchange, "notReady", { retryAfterMs: 1_000 });
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -81,8 +81,9 @@
 ): Promise<Entry> {
     const { log } = context;
     let stopping = false;
+    let isNoticeOver = false;
     let peers: Peers | undefined = undefined;
-    const mayServe = (): boolean => peers?.feed.latest().caughtUp === true;
+    const mayServe = (): boolean => !isNoticeOver && peers?.feed.latest().caughtUp === true;
     const isReady = (): boolean => !stopping && mayServe();
     const spillTarget = (service: string): string | undefined => peers?.spillTarget(service);
     const readiness = { isReady, mayServe };
@@ -106,6 +107,8 @@
         stopping = true;
         control.stop();
         log.info("leaving", { inFlight: callers.inFlight() });
+        await sleep(context.timer, context.settings.limits.shutdownNoticeMs);
+        isNoticeOver = true;
         const cut = await drainCallers(callers, context);
         operators.close();
         startedPeers.stop();
@@ -119,11 +122,9 @@
 }
 
 /**
- * Waits `shutdownNoticeMs` for the load balancer to notice, then up to `shutdownGraceMs` for running responses.
- * Resolves to the number of responses that were aborted.
+ * Waits up to `shutdownGraceMs` for running responses. Resolves to the number of responses that were aborted.
  */
 async function drainCallers(callers: CallerListener, { settings, timer }: ProcessContext): Promise<number> {
-    await sleep(timer, settings.limits.shutdownNoticeMs);
     await waitAtMost(timer, settings.limits.shutdownGraceMs, callers.drain());
     const cut = callers.inFlight();
     callers.close();
--- a/packages/lab/src/__tests__/gracefulStop.test.ts
+++ b/packages/lab/src/__tests__/gracefulStop.test.ts
@@ -1,8 +1,11 @@
 /** Sends SIGTERM to entry instances, run as separate processes, while they relay streams. */
 import { sleep, systemTimer } from "@rattanquay/timer";
 import { type ChildProcess } from "node:child_process";
+import { once } from "node:events";
 import { readFileSync } from "node:fs";
+import { connect } from "node:net";
 import { join } from "node:path";
+import { text } from "node:stream/consumers";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { defaultSpec, type ProcessCluster, startProcessCluster, waitUntil } from "../cluster";
@@ -20,7 +23,7 @@
     cluster = await startProcessCluster({
         ...defaultSpec,
         zones: 1,
-        entriesPerZone: 3,
+        entriesPerZone: 4,
         concurrency: 32,
         engine: { maxRunning: 32 },
         settings: { limits: { shutdownNoticeMs: noticeMs, shutdownGraceMs: 20_000 } },
@@ -30,18 +33,18 @@
 test.after(() => cluster.stop());
 
 /** Starts the streams and resolves when each has received its first token. */
-const startStreams = async (port: number): Promise<readonly Promise<CallResult>[]> => {
+const startStreams = async (port: number, count = streamCount): Promise<readonly Promise<CallResult>[]> => {
     let startedStreams = 0;
     const onToken = (index: number): void => {
         startedStreams += index === 1 ? 1 : 0;
     };
     const calls = Array.from(
-        { length: streamCount },
+        { length: count },
         () => callChat({ port, messages, maxTokens: tokensPerStream, onToken }),
     );
     const ended: string[] = [];
     calls.forEach(call => void call.then(({ status, errorCode }) => ended.push(`${status} ${errorCode ?? ""}`)));
-    await waitUntil("all streams to have begun", 10_000, () => startedStreams === streamCount).catch(error => {
+    await waitUntil("all streams to have begun", 10_000, () => startedStreams === count).catch(error => {
         throw new Error(`${(error as Error).message}; ${startedStreams} began, already ended: ${ended.join(", ")}`);
     });
     return calls;
@@ -74,6 +77,21 @@
     assert.is(eventsOf(name).find(({ message }) => message === "stopped")?.cut, 0);
 });
 
+test("a request on an unused connection after the notice period is refused as not run, while streams still run", async () => {
+    const { port, child } = cluster.entries[3]!;
+    const calls = await startStreams(port, 1);
+    const socket = connect(port, "127.0.0.1");
+    await once(socket, "connect");
+    const exit = exitOf(child);
+    child.kill("SIGTERM");
+    await sleep(systemTimer, noticeMs + 300);
+    socket.write("GET /v1/models HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer key\r\n\r\n");
+    const answer = (await text(socket)).toLowerCase();
+    assert.match(answer, /^http\/1.1 503 .*connection: close.*"code":"notready"/s);
+    assert.ok((await Promise.all(calls)).every(({ whole }) => whole));
+    assert.is(await exit, 0);
+});
+
 test("a second SIGTERM stops at once, and no cut stream looks whole", async () => {
     const { name, port, child } = cluster.entries[1]!;
     const calls = await startStreams(port);
