Let one attempt at a time write a caller's answer, and only the answer that has begun

A lookup or an error above 262,144 bytes that did not end well was followed by a second attempt, whose head could not be written any more: the process ended (code 70) with all its connections (LOST).

Cause: every attempt's reader wrote to the response itself. Whether the answer had begun, by whom and as what, was known in none of these places, and bytes that came in the packet of the head still reached the reader of an attempt that was over.

Change: `CallerAnswer` holds the response. Opening a writer takes the right to write from the one before; the answer begins once; a body goes on by its own writer only, a series of events by a run with the same status and media type, in sequence. A declared length is kept exactly. What has begun and can't be finished is reset, and no attempt follows a body that has begun. The rest of the exchange has a type of the response without `write`, `writeHead` and `end`. The head of an answer now carries the headers for the caller, read once.

--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -6,13 +6,15 @@
 import { type CallerRequest } from "../ports";
 import { type AdmittedRequest } from "./admittedRequest";
 import { readBody } from "./body";
+import { type CallerAnswer, type CallerResponse, makeCallerAnswer } from "./callerAnswer";
 import { type ExchangeOutcome, runExchange } from "./exchange";
 import { type ExchangeDependencies } from "./exchangeDependencies";
 import { type Refusal, refusals, refuse } from "./refusals";
 
 type Arrival = {
     readonly request: IncomingMessage;
-    readonly response: ServerResponse;
+    readonly response: CallerResponse;
+    readonly answer: CallerAnswer;
     readonly caller: CallerRequest;
     readonly connection: CallerConnection;
     readonly arrivedAtMs: number;
@@ -30,7 +32,8 @@
 ): Promise<void> {
     const { timer, ports } = dependencies.context;
     const caller = ports.requestCodec.readRequest(request);
-    const arrival: Arrival = { request, response, caller, connection, arrivedAtMs: timer.nowMs() };
+    const answer = makeCallerAnswer(response, caller.lastEventId);
+    const arrival: Arrival = { request, response, answer, caller, connection, arrivedAtMs: timer.nowMs() };
     const routes = dependencies.clusterState.routes();
     if (routes === undefined) {
         refuseArrival(arrival, "noConfiguration", dependencies, undefined);
@@ -108,8 +111,8 @@
     dependencies: ExchangeDependencies,
     routes: RouteTable | undefined,
 ): void {
-    const { request, response } = arrival;
-    refuse(response, request, refusal, dependencies.context.ports.requestCodec, startRetryAfterMs);
+    const { request, answer } = arrival;
+    refuse(answer, request, refusal, dependencies.context.ports.requestCodec, startRetryAfterMs);
     const { status, ending } = refusals[refusal];
     recordEnd(arrival, { ending, code: refusal, status }, dependencies, { version: routes?.version });
 }
--- a/packages/gateway/src/exchange/admittedRequest.ts
+++ b/packages/gateway/src/exchange/admittedRequest.ts
@@ -1,12 +1,14 @@
 /** A request with the route, service and deadline that were determined on arrival. */
 import { type ServingRoute, type ServingService } from "@rattanquay/schema";
-import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type IncomingMessage } from "node:http";
 import { type CallerRequest } from "../ports";
 import { type PromptRequest } from "../quarantine";
+import { type CallerAnswer, type CallerResponse } from "./callerAnswer";
 
 export type AdmittedRequest = {
     readonly request: IncomingMessage;
-    readonly response: ServerResponse;
+    readonly response: CallerResponse;
+    readonly answer: CallerAnswer;
     readonly caller: CallerRequest;
     readonly route: ServingRoute;
     readonly service: ServingService;
--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -18,7 +18,7 @@
     | { readonly kind: "cut"; readonly reason: string; readonly isAborted: boolean };
 
 export type AttemptEvents = {
-    readonly onHead: (head: AnswerHead, answer: IncomingMessage) => void;
+    readonly onHead: (head: AnswerHead) => void;
     /** Returns whether to read on; otherwise reading pauses until `Attempt.resume`. */
     readonly onBytes: (bytes: Buffer) => boolean;
     readonly onEnd: (end: AttemptEnd) => void;
@@ -189,7 +189,7 @@
     events: AttemptEvents,
     { finish, fail, pause, load, timer }: AnswerHandlers,
 ): void {
-    events.onHead(head, answer);
+    events.onHead(head);
     answer.on("data", (bytes: Buffer) => {
         load.noteProgress(timer.nowMs());
         if (!events.onBytes(bytes)) {
--- a/packages/gateway/src/exchange/attemptRun.ts
+++ b/packages/gateway/src/exchange/attemptRun.ts
@@ -35,9 +35,9 @@
         }
     };
     const attempt = startAttempt(attemptOptions(options), {
-        onHead: (head, answer) => {
+        onHead: head => {
             progress.hasHead = true;
-            abortFor(reader.onHead(head, answer));
+            abortFor(reader.onHead(head));
         },
         onBytes: bytes => {
             progress.lastBytesAtMs = timer.nowMs();
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -18,10 +18,11 @@
 import { type AdmittedRequest, promptRequestOf } from "./admittedRequest";
 import { type AttemptRun, runAttempt } from "./attemptRun";
 import { type ExchangeDependencies } from "./exchangeDependencies";
+import { type BufferedAnswer } from "./framedResponse";
 import { isTooLate, retryAfterMs } from "./loadShedding";
 import { choosePlacement, type Placement } from "./placement";
 import { type Refusal, refusals, refuse } from "./refusals";
-import { type AttemptResult, type BufferedAnswer, type Relay, relays, sendBuffered } from "./relays";
+import { type AttemptResult, type Relay, relays } from "./relays";
 
 /** How a request ended, for the log and the metrics. */
 export type ExchangeOutcome = {
@@ -70,7 +71,7 @@
         private readonly dependencies: ExchangeDependencies,
         private readonly onEnd: (outcome: ExchangeOutcome) => void,
     ) {
-        this.relay = relays[admitted.route.kind](admitted, dependencies, { onFirstByte: () => this.noteFirstByte() });
+        this.relay = relays[admitted.route.kind](admitted, { onFirstByte: () => this.noteFirstByte() });
     }
 
     start(): void {
@@ -102,6 +103,7 @@
             return;
         }
         this.hasEnded = true;
+        this.admitted.answer.release();
         this.cancelTimeout();
         this.cancelGiveUp();
         this.currentAttempt?.abort("the request has ended");
@@ -117,7 +119,7 @@
         }
         const { admitted, dependencies } = this;
         const { requestCodec } = dependencies.context.ports;
-        refuse(admitted.response, admitted.request, refusal, requestCodec, retryDelayMs);
+        refuse(admitted.answer, admitted.request, refusal, requestCodec, retryDelayMs);
         const { status, ending } = refusals[refusal];
         this.finish(ending, refusal, status);
     }
@@ -128,8 +130,7 @@
      */
     private endWithoutSuccess(refusalIfUnsent: Refusal): void {
         const { errorAnswer, admitted, sends } = this;
-        if (errorAnswer !== undefined && !admitted.response.headersSent) {
-            sendBuffered(admitted, errorAnswer);
+        if (errorAnswer !== undefined && admitted.answer.sendWhole(errorAnswer)) {
             this.finish("answered", "upstreamFailed", errorAnswer.status);
             return;
         }
@@ -138,7 +139,7 @@
     }
 
     private runOutOfTime(): void {
-        if (this.errorAnswer !== undefined && !this.admitted.response.headersSent) {
+        if (this.errorAnswer !== undefined && !this.admitted.answer.hasBegun()) {
             this.endWithoutSuccess("outOfTime");
             return;
         }
@@ -206,8 +207,9 @@
     }
 
     private canRetryAfter(failure: AttemptFailure): boolean {
-        const { isRepeatable, route: { maxAttempts } } = this.admitted;
-        return mayRetryRequest(countAttempt(this.sends, failure), { isRepeatable, maxAttempts });
+        const { isRepeatable, route: { maxAttempts }, answer } = this.admitted;
+        return answer.isOpenToAttempts()
+            && mayRetryRequest(countAttempt(this.sends, failure), { isRepeatable, maxAttempts });
     }
 
     /** `answeringMs` is for how long the answer had been arriving. */
--- a/packages/gateway/src/exchange/relays.ts
+++ b/packages/gateway/src/exchange/relays.ts
@@ -5,13 +5,13 @@
  * Events of a stream are forwarded as soon as each is complete; after an interruption, another attempt resumes after
  * the last forwarded event.
  */
-import { type AttemptFailure, makeEventSequence, makeEventSplitter } from "@rattanquay/core";
+import { type AttemptFailure, makeEventSplitter } from "@rattanquay/core";
 import { type RequestKind } from "@rattanquay/schema";
-import { type IncomingMessage, type ServerResponse } from "node:http";
-import { type AnswerHead, type RawHeaders } from "../ports";
+import { type AnswerHead } from "../ports";
 import { type AdmittedRequest } from "./admittedRequest";
 import { type AttemptEnd } from "./attempt";
-import { type ExchangeDependencies } from "./exchangeDependencies";
+import { type AnswerWriter, type BodyWriter, type EventWriter } from "./callerAnswer";
+import { type BufferedAnswer } from "./framedResponse";
 
 /** The result of one attempt, as far as the request is concerned. */
 export type AttemptResult =
@@ -21,13 +21,6 @@
     | { readonly kind: "failed"; readonly answer: BufferedAnswer }
     | { readonly kind: "short"; readonly failure: AttemptFailure; readonly reason: string; readonly blames?: string };
 
-export type BufferedAnswer = {
-    readonly status: number;
-    readonly headers: RawHeaders;
-    readonly body: Buffer;
-    readonly hasMarkedEnd: boolean;
-};
-
 /** Relays the answer to one request over all of its attempts. */
 export type Relay = {
     /** The id of the last event that was forwarded; the next attempt asks its upstream to resume after it. */
@@ -38,7 +31,7 @@
 
 /** Reads the answer to one attempt. `onHead` and `onBytes` return a reason if the attempt must be aborted. */
 export type AttemptReader = {
-    readonly onHead: (head: AnswerHead, answer: IncomingMessage) => string | undefined;
+    readonly onHead: (head: AnswerHead) => string | undefined;
     readonly onBytes: (bytes: Buffer) => string | undefined;
     readonly onEnd: (end: AttemptEnd) => AttemptResult;
     /** Whether the upstream has written a part of a successful answer; of a stream, a complete event. */
@@ -51,29 +44,6 @@
 const maxBufferedBytes = 262_144;
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
-/** Sends a buffered answer, which is complete as far as its framing can show. */
-export function sendBuffered(
-    { response }: AdmittedRequest,
-    { status, headers, body, hasMarkedEnd }: BufferedAnswer,
-): void {
-    const hasLength = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === "content-length");
-    const length = hasLength || !hasMarkedEnd ? [] : ["content-length", String(body.length)];
-    writeHead(response, status, [...headers, ...length], hasMarkedEnd);
-    response.end(body);
-}
-
-/**
- * Writes the response head. An answer without a length or chunked framing is forwarded without either and ends with the
- * connection; otherwise an answer that a broken connection truncated would look complete.
- */
-function writeHead(response: ServerResponse, status: number, headers: RawHeaders, hasMarkedEnd: boolean): void {
-    if (!hasMarkedEnd) {
-        response.useChunkedEncodingByDefault = false;
-        response.shouldKeepAlive = false;
-    }
-    response.writeHead(status, [...headers]);
-}
-
 function resultOfIncomplete(end: Exclude<AttemptEnd, { readonly kind: "whole" }>): AttemptResult {
     const handlers = {
         unreached: () => ({ kind: "short", failure: "unreached", reason: (end as { reason: string }).reason }),
@@ -86,122 +56,120 @@
     return handlers[end.kind]();
 }
 
+/** Why an attempt is aborted whose bytes can't be passed on. */
+const reasons = {
+    unsealed: "successful answer without a seal",
+    hasBegun: "another answer to the caller has begun",
+    unfit: "the answer does not fit what the caller has of it",
+} as const;
+
+const unfitAnswer = { kind: "short", failure: "inDoubt", reason: reasons.unfit } as const;
+
 /** Buffers an answer until it is complete. */
-function bufferedRelay(admitted: AdmittedRequest, dependencies: ExchangeDependencies, hooks: Hooks): Relay {
-    const begin = (): AttemptReader => {
-        let head: AnswerHead | undefined;
-        let headers: RawHeaders = [];
-        let isPassingThrough = false;
-        const chunks: Buffer[] = [];
-        let size = 0;
-        return {
-            onHead: (received, answer) => {
-                head = received;
-                headers = dependencies.context.ports.requestCodec.callerHeaders(answer);
-                return isSuccess(received.status) && !received.isSealed
-                    ? "successful answer without a seal"
-                    : undefined;
-            },
-            onBytes: bytes => {
-                if (isPassingThrough) {
-                    admitted.response.write(bytes);
-                    return undefined;
-                }
-                size += bytes.length;
-                chunks.push(bytes);
-                if (size > maxBufferedBytes) {
-                    isPassingThrough = true;
-                    writeHead(admitted.response, head!.status, headers, head!.hasMarkedEnd);
-                    hooks.onFirstByte();
-                    chunks.splice(0).forEach(chunk => admitted.response.write(chunk));
-                }
+function makeBufferedReader(writer: AnswerWriter): AttemptReader {
+    let head: AnswerHead | undefined;
+    let body: BodyWriter | undefined;
+    const chunks: Buffer[] = [];
+    let size = 0;
+    return {
+        onHead: received => {
+            head = received;
+            return isSuccess(received.status) && !received.isSealed ? reasons.unsealed : undefined;
+        },
+        onBytes: bytes => {
+            if (body !== undefined) {
+                return body.write(bytes) ? undefined : reasons.unfit;
+            }
+            size += bytes.length;
+            chunks.push(bytes);
+            if (size <= maxBufferedBytes) {
                 return undefined;
-            },
-            onEnd: end => {
-                if (end.kind !== "whole") {
-                    return resultOfIncomplete(end);
-                }
-                const { status, hasMarkedEnd } = head!;
-                if (isPassingThrough) {
-                    admitted.response.end();
-                    return { kind: "answered", status };
+            }
+            body = writer.beginBody(head!);
+            const written = chunks.splice(0).every(chunk => body?.write(chunk));
+            return body === undefined ? reasons.hasBegun : written ? undefined : reasons.unfit;
+        },
+        onEnd: end => {
+            if (end.kind !== "whole") {
+                return resultOfIncomplete(end);
+            }
+            const { status, headers, hasMarkedEnd } = head!;
+            if (body !== undefined) {
+                return body.end() ? { kind: "answered", status } : unfitAnswer;
+            }
+            const answer = { status, headers, body: Buffer.concat(chunks), hasMarkedEnd };
+            if (!isSuccess(status)) {
+                return { kind: "failed", answer };
+            }
+            return writer.sendWhole(answer) ? { kind: "answered", status } : unfitAnswer;
+        },
+        hasOutput: () => size > 0 && head !== undefined && isSuccess(head.status),
+    };
+}
+
+function bufferedRelay({ answer }: AdmittedRequest, { onFirstByte }: Hooks): Relay {
+    return { lastEventId: answer.lastEventId, begin: () => makeBufferedReader(answer.openWriter(onFirstByte)) };
+}
+
+/** Forwards the events of one run. */
+function makeEventReader(head: AnswerHead, events: EventWriter): AttemptReader {
+    const splitter = makeEventSplitter();
+    let hasOutput = false;
+    return {
+        onHead: () => undefined,
+        onBytes: bytes => {
+            for (const event of splitter.push(bytes.toString("latin1"))) {
+                hasOutput = true;
+                const decision = events.write(event);
+                if (decision === "gap") {
+                    return "an event is missing";
                 }
-                const answer = { status, headers, body: Buffer.concat(chunks), hasMarkedEnd };
-                if (!isSuccess(status)) {
-                    return { kind: "failed", answer };
+                if (decision === "closed") {
+                    return reasons.unfit;
                 }
-                hooks.onFirstByte();
-                sendBuffered(admitted, answer);
-                return { kind: "answered", status };
-            },
-            hasOutput: () => size > 0 && head !== undefined && isSuccess(head.status),
-        };
+            }
+            return splitter.isTooLarge() ? "an event has no end" : undefined;
+        },
+        onEnd: end => {
+            if (end.kind !== "whole") {
+                return resultOfIncomplete(end);
+            }
+            if (splitter.hasPartialEvent()) {
+                return { kind: "short", failure: "inDoubt", reason: "the stream ended inside an event" };
+            }
+            return events.end() ? { kind: "answered", status: head.status } : unfitAnswer;
+        },
+        hasOutput: () => hasOutput,
     };
-    return { lastEventId: () => admitted.caller.lastEventId, begin };
 }
 
 /** Forwards a stream of events, assembled from as many attempts as needed. */
-function streamRelay(admitted: AdmittedRequest, dependencies: ExchangeDependencies, hooks: Hooks): Relay {
-    const { response, caller } = admitted;
-    const order = makeEventSequence(caller.lastEventId);
-    let hasBegun = false;
+function streamRelay({ answer }: AdmittedRequest, { onFirstByte }: Hooks): Relay {
     const begin = (): AttemptReader => {
-        const splitter = makeEventSplitter();
-        const errorReader = bufferedRelay(admitted, dependencies, hooks).begin();
-        let isStream = false;
-        let hasOutput = false;
-        let hasMarkedEnd = true;
-        let headers: RawHeaders = [];
-        let status = 0;
-        const start = (): void => {
-            if (!hasBegun) {
-                hasBegun = true;
-                writeHead(response, status, headers, hasMarkedEnd);
-                hooks.onFirstByte();
-            }
-        };
+        const writer = answer.openWriter(onFirstByte);
+        let reader = makeBufferedReader(writer);
         return {
-            onHead: (head, answer) => {
-                isStream = isSuccess(head.status);
-                ({ status, hasMarkedEnd } = head);
-                headers = dependencies.context.ports.requestCodec.callerHeaders(answer);
-                return errorReader.onHead(head, answer);
-            },
-            onBytes: bytes => {
-                if (!isStream) {
-                    return errorReader.onBytes(bytes);
-                }
-                for (const event of splitter.push(bytes.toString("latin1"))) {
-                    hasOutput = true;
-                    const verdict = order.checkNext(event.id);
-                    if (verdict === "gap") {
-                        return "an event is missing";
-                    }
-                    if (verdict === "pass") {
-                        start();
-                        response.write(event.bytes, "latin1");
-                    }
+            onHead: head => {
+                const abortReason = reader.onHead(head);
+                if (abortReason !== undefined) {
+                    return abortReason;
                 }
-                return splitter.isTooLarge() ? "an event has no end" : undefined;
-            },
-            onEnd: end => {
-                if (end.kind !== "whole") {
-                    return resultOfIncomplete(end);
+                if (!isSuccess(head.status)) {
+                    return answer.hasBegun() ? `status ${head.status} after the stream had begun` : undefined;
                 }
-                if (!isStream) {
-                    return errorReader.onEnd(end);
+                const events = writer.openEvents(head);
+                if (events === undefined) {
+                    return reasons.hasBegun;
                 }
-                if (splitter.hasPartialEvent()) {
-                    return { kind: "short", failure: "inDoubt", reason: "the stream ended inside an event" };
-                }
-                start();
-                response.end();
-                return { kind: "answered", status };
+                reader = makeEventReader(head, events);
+                return undefined;
             },
-            hasOutput: () => hasOutput,
+            onBytes: bytes => reader.onBytes(bytes),
+            onEnd: end => reader.onEnd(end),
+            hasOutput: () => reader.hasOutput(),
         };
     };
-    return { lastEventId: order.lastId, begin };
+    return { lastEventId: answer.lastEventId, begin };
 }
 
 /** The relay for each kind of request. */
@@ -209,7 +177,4 @@
     idempotent: bufferedRelay,
     nonIdempotent: bufferedRelay,
     streaming: streamRelay,
-} as const satisfies Record<
-    RequestKind,
-    (admitted: AdmittedRequest, dependencies: ExchangeDependencies, hooks: Hooks) => Relay
->;
+} as const satisfies Record<RequestKind, (admitted: AdmittedRequest, hooks: Hooks) => Relay>;
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -105,6 +105,10 @@
     readonly hasMarkedEnd: boolean;
     /** Another upstream that the answer names as the cause of its failure. */
     readonly blames: string | undefined;
+    /** The media type without its parameters, in lower case. */
+    readonly mediaType: string | undefined;
+    /** The headers that are passed on to the caller. */
+    readonly headers: RawHeaders;
 };
 
 /** Headers as a flat list of alternating names and values, as Node accepts them. */
@@ -114,7 +118,6 @@
     readonly readRequest: (request: IncomingMessage) => CallerRequest;
     readonly upstreamHeaders: (request: IncomingMessage, forwarding: ForwardedRequest) => RawHeaders;
     readonly readHead: (answer: IncomingMessage) => AnswerHead;
-    readonly callerHeaders: (answer: IncomingMessage) => RawHeaders;
     /** Headers of a response that the gateway generates itself. */
     readonly gatewayHeaders: (requestId: string | undefined, retryAfterMs: number | undefined) => RawHeaders;
 };
