Read the heads of upstreams in one place, and end the attempt at what can't be read

A status above 599, 101, a transfer coding that isn't known, a body with the status 204 and more headers than Node keeps were passed on, or held until the deadline.

Cause: Node's parser takes what its writer refuses. `readHead` took what it found, and `writeHead` threw in an event's handler.

Change: `readHead` yields a head or a fault. A fault, or bytes that the parser refuses, ends the attempt as one that may have run and resets its connection; the caller gets 502, or another attempt where that is allowed.

--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -22,6 +22,8 @@
     /** Returns whether to read on; otherwise reading pauses until `Attempt.resume`. */
     readonly onBytes: (bytes: Buffer) => boolean;
     readonly onEnd: (end: AttemptEnd) => void;
+    /** Called before `onEnd` if the upstream sends what is no answer; `fault` says what could not be read. */
+    readonly onUnreadable: (fault: string) => void;
 };
 
 export type Attempt = {
@@ -45,6 +47,8 @@
 
 /** Many round trips to the farthest upstream. TCP resends a lost SYN only after a second. */
 const connectTimeoutMs = 200;
+/** Node's errors about bytes that are no HTTP begin with it. */
+const parseErrorPrefix = "HPE_";
 
 export function startAttempt(options: AttemptOptions, events: AttemptEvents): Attempt {
     const { upstream, timer } = options;
@@ -92,9 +96,21 @@
         }
     });
     client.on("socket", socket => whenConnected(socket, () => mayHaveBeenSent = true));
-    client.on("error", error => fail((error as NodeJS.ErrnoException).code ?? error.message));
+    client.on("error", error => {
+        const { code = error.message } = error as NodeJS.ErrnoException;
+        if (!ended && code.startsWith(parseErrorPrefix)) {
+            events.onUnreadable(code);
+        }
+        fail(code);
+    });
     client.on("response", answer => {
-        const head = options.wire.readHead(answer);
+        const reading = options.wire.readHead(answer, options.method);
+        if (reading.kind === "unreadable") {
+            events.onUnreadable(reading.fault);
+            abort("the answer can't be read");
+            return;
+        }
+        const { head } = reading;
         if (!answersRequest(head, options.requestId)) {
             abort("the answer belongs to another request");
             return;
--- a/packages/gateway/src/exchange/attemptRun.ts
+++ b/packages/gateway/src/exchange/attemptRun.ts
@@ -64,6 +64,8 @@
             watch.noteEnd(observeEnd(end, result));
             onResult(result, firstBytesAtMs === undefined ? undefined : timer.nowMs() - firstBytesAtMs);
         },
+        onUnreadable: fault =>
+            dependencies.unreadableAnswers.note(placement.upstream.record.id, admitted.caller.requestId, fault),
     });
     /** Waits until a caller that reads slowly has taken what is buffered for it. */
     const pauseForCaller = (): boolean => {
--- a/packages/gateway/src/exchange/exchangeDependencies.ts
+++ b/packages/gateway/src/exchange/exchangeDependencies.ts
@@ -6,6 +6,7 @@
 import { type Quarantine } from "../quarantine";
 import { type UpstreamRegistry } from "../upstreams";
 import { type StallWatch } from "./stallWatch";
+import { type UnreadableAnswers } from "./unreadableAnswers";
 
 export type ExchangeDependencies = {
     readonly context: GatewayContext;
@@ -15,6 +16,7 @@
     /** The known number of gateway instances that share the retry budget. */
     readonly instances: () => number;
     readonly stallWatch: StallWatch;
+    readonly unreadableAnswers: UnreadableAnswers;
     readonly lifetime: Lifetime;
     readonly quarantine: Quarantine;
     /** Recent prediction errors by model. */
--- a/packages/gateway/src/exchange/index.ts
+++ b/packages/gateway/src/exchange/index.ts
@@ -6,3 +6,4 @@
 export { type ExchangeDependencies } from "./exchangeDependencies";
 export { detectReset } from "./resetDetection";
 export { makeStallWatch, type StallWatch } from "./stallWatch";
+export { makeUnreadableAnswers } from "./unreadableAnswers";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
 import { sleep, type Timer } from "@rattanquay/timer";
 import { watchClusterState } from "./clusterState";
 import { type Planning, startPlanning } from "./control";
-import { type ExchangeDependencies, makeStallWatch, serveRequest } from "./exchange";
+import { type ExchangeDependencies, makeStallWatch, makeUnreadableAnswers, serveRequest } from "./exchange";
 import { type GatewayContext } from "./gatewayContext";
 import { type Lifetime, makeLifetime } from "./lifetime";
 import {
@@ -57,6 +57,7 @@
         budget,
         instances,
         stallWatch,
+        unreadableAnswers: makeUnreadableAnswers(context),
         lifetime,
         quarantine,
         biases: makePredictionBiases(),
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -22,6 +22,11 @@
             labelNames: ["kind", "result"],
             registers,
         }),
+        unreadableAnswers: new Counter({
+            name: "rattanquay_gateway_unreadable_answers_total",
+            help: "Answers of upstreams whose head or framing could not be read; each ended its attempt.",
+            registers,
+        }),
         firstByte: new Histogram({
             name: "rattanquay_gateway_first_byte_seconds",
             help: "From a request's arrival to the first byte of its answer, by kind.",
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -111,13 +111,19 @@
     readonly headers: RawHeaders;
 };
 
+/** The head of an answer, or why it can't be read or passed on. */
+export type HeadReading =
+    | { readonly kind: "head"; readonly head: AnswerHead }
+    | { readonly kind: "unreadable"; readonly fault: string };
+
 /** Headers as a flat list of alternating names and values, as Node accepts them. */
 export type RawHeaders = readonly string[];
 
 export type RequestCodec = {
     readonly readRequest: (request: IncomingMessage) => CallerRequest;
     readonly upstreamHeaders: (request: IncomingMessage, forwarding: ForwardedRequest) => RawHeaders;
-    readonly readHead: (answer: IncomingMessage) => AnswerHead;
+    /** Reads the head of the answer to a request of this method. It alone decides what of an upstream's head is used. */
+    readonly readHead: (answer: IncomingMessage, method: string) => HeadReading;
     /** Headers of a response that the gateway generates itself. */
     readonly gatewayHeaders: (requestId: string | undefined, retryAfterMs: number | undefined) => RawHeaders;
 };
