Let the ids of events leave numbers out

PROTOCOL.md asks only for "a series of events with increasing ids".

Cause: `makeEventSequence` asked for exactly one more than the last id.

Change: ids increase within a run. One that goes back, or is no exact number, ends the attempt (it was dropped without notice before, so that a stream could end as complete without it); the same id again is a repeat. A run that continues another begins after the last id passed on: what isn't above it is a repeat.

What this gives up: an event missing within a run, or at the start of the next, can't be told from the ids alone, and was found before where an upstream counts by one.

--- a/packages/core/src/serving/eventSequence.ts
+++ b/packages/core/src/serving/eventSequence.ts
@@ -1,14 +1,20 @@
-/** Keeps the events of one response in sequence when the response is assembled from several attempts. */
+/**
+ * Keeps the events of one response in sequence when the response is assembled from several runs.
+ *
+ * Ids increase and may leave numbers out, so they don't show whether an event is missing within a run. A run that
+ * continues another begins after the last id that was passed on, so what isn't above it is a repeat.
+ */
 
 export type EventDecision =
     | "pass"
     /** The caller has already received this event. */
     | "drop"
-    /** An earlier event is missing: the attempt cannot continue. */
-    | "gap";
+    /** The ids of this run don't increase: the attempt cannot continue. */
+    | "disorder";
 
 export type EventSequence = {
-    readonly checkNext: (id: number | undefined) => EventDecision;
+    /** Starts a run, which goes on after `lastId`, and returns the check for its events in turn. */
+    readonly startRun: () => (id: number | undefined) => EventDecision;
     /** The id of the last numbered event that was passed on, or else the initial `after`. */
     readonly lastId: () => number | undefined;
 };
@@ -16,20 +22,22 @@
 /** `after` is the id of the last event that the caller received earlier, if it sent one. */
 export function makeEventSequence(after: number | undefined): EventSequence {
     let last = after;
-    return {
-        checkNext: id => {
+    const startRun = () => {
+        let lastOfRun: number | undefined;
+        return (id: number | undefined): EventDecision => {
             if (id === undefined) {
                 return "pass";
             }
+            if (!Number.isSafeInteger(id) || (lastOfRun !== undefined && id < lastOfRun)) {
+                return "disorder";
+            }
+            lastOfRun = id;
             if (last !== undefined && id <= last) {
                 return "drop";
             }
-            if (id !== (last ?? 0) + 1) {
-                return "gap";
-            }
             last = id;
             return "pass";
-        },
-        lastId: () => last,
+        };
     };
+    return { startRun, lastId: () => last };
 }
--- a/packages/gateway/src/exchange/callerAnswer.ts
+++ b/packages/gateway/src/exchange/callerAnswer.ts
@@ -120,6 +120,7 @@
                 if (!mayBegin() && !(mayWrite("events") && state.kind === "events" && continues(state.head, head))) {
                     return undefined;
                 }
+                const checkNext = sequence.startRun();
                 const isReady = (): boolean => {
                     if (mayBegin()) {
                         beginWith({ kind: "events", head }, head);
@@ -131,7 +132,7 @@
                         if (!mayBegin() && !mayWrite("events")) {
                             return "closed";
                         }
-                        const decision = sequence.checkNext(event.id);
+                        const decision = checkNext(event.id);
                         if (decision !== "pass") {
                             return decision;
                         }
--- a/packages/gateway/src/exchange/relays.ts
+++ b/packages/gateway/src/exchange/relays.ts
@@ -121,8 +121,8 @@
             for (const event of splitter.push(bytes.toString("latin1"))) {
                 hasOutput = true;
                 const decision = events.write(event);
-                if (decision === "gap") {
-                    return "an event is missing";
+                if (decision === "disorder") {
+                    return "the ids of its events do not increase";
                 }
                 if (decision === "closed") {
                     return reasons.unfit;
