--- a/packages/gateway/src/exchange/attemptRun.ts
+++ b/packages/gateway/src/exchange/attemptRun.ts
@@ -35,9 +35,9 @@
         }
     };
     const attempt = startAttempt(attemptOptions(options), {
-        onHead: (head, answer) => {
+        onHead: head => {
             progress.hasHead = true;
-            abortFor(reader.onHead(head, answer));
+            abortFor(reader.onHead(head));
         },
         onBytes: bytes => {
             progress.lastBytesAtMs = timer.nowMs();
@@ -64,6 +64,8 @@
             watch.noteEnd(observeEnd(end, result));
             onResult(result, firstBytesAtMs === undefined ? undefined : timer.nowMs() - firstBytesAtMs);
         },
+        onUnreadable: fault =>
+            dependencies.unreadableAnswers.note(placement.upstream.record.id, admitted.caller.requestId, fault),
     });
     /** Waits until a caller that reads slowly has taken what is buffered for it. */
     const pauseForCaller = (): boolean => {
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -19,10 +19,11 @@
 import { type AdmittedRequest, promptRequestOf } from "./admittedRequest";
 import { type AttemptRun, runAttempt } from "./attemptRun";
 import { type ExchangeDependencies } from "./exchangeDependencies";
+import { type BufferedAnswer } from "./framedResponse";
 import { isTooLate, retryAfterMs } from "./loadShedding";
 import { choosePlacement, type Placement } from "./placement";
 import { type Refusal, refusals, refuse } from "./refusals";
-import { type AttemptResult, type BufferedAnswer, type Relay, relays, sendBuffered } from "./relays";
+import { type AttemptResult, type Relay, relays } from "./relays";
 
 /** How a request ended, for the log and the metrics. */
 export type ExchangeOutcome = {
@@ -71,7 +72,7 @@
         private readonly dependencies: ExchangeDependencies,
         private readonly onEnd: (outcome: ExchangeOutcome) => void,
     ) {
-        this.relay = relays[admitted.route.kind](admitted, dependencies, { onFirstByte: () => this.noteFirstByte() });
+        this.relay = relays[admitted.route.kind](admitted, { onFirstByte: () => this.noteFirstByte() });
     }
 
     start(): void {
@@ -103,6 +104,7 @@
             return;
         }
         this.hasEnded = true;
+        this.admitted.answer.release();
         this.cancelTimeout();
         this.cancelGiveUp();
         this.currentAttempt?.abort("the request has ended");
@@ -118,7 +120,7 @@
         }
         const { admitted, dependencies } = this;
         const { requestCodec } = dependencies.context.ports;
-        refuse(admitted.response, admitted.request, refusal, requestCodec, retryDelayMs);
+        refuse(admitted.answer, admitted.request, refusal, requestCodec, retryDelayMs);
         const { status, ending } = refusals[refusal];
         this.finish(ending, refusal, status);
     }
@@ -129,8 +131,7 @@
      */
     private endWithoutSuccess(refusalIfUnsent: Refusal): void {
         const { errorAnswer, admitted, sends } = this;
-        if (errorAnswer !== undefined && !admitted.response.headersSent) {
-            sendBuffered(admitted, errorAnswer);
+        if (errorAnswer !== undefined && admitted.answer.sendWhole(errorAnswer)) {
             this.finish("answered", "upstreamFailed", errorAnswer.status);
             return;
         }
@@ -140,7 +141,7 @@
 
     /** Ends a request whose time, or whose process's time, is over: `refusal` says so where it may have run. */
     private endWithoutAnswer(refusal: "outOfTime" | "processStopped"): void {
-        if (this.errorAnswer !== undefined && !this.admitted.response.headersSent) {
+        if (this.errorAnswer !== undefined && !this.admitted.answer.hasBegun()) {
             this.endWithoutSuccess(refusal);
             return;
         }
@@ -220,8 +221,9 @@
     }
 
     private canRetryAfter(failure: AttemptFailure): boolean {
-        const { isRepeatable, route: { maxAttempts } } = this.admitted;
-        return mayRetryRequest(countAttempt(this.sends, failure), { isRepeatable, maxAttempts });
+        const { isRepeatable, route: { maxAttempts }, answer } = this.admitted;
+        return answer.isOpenToAttempts()
+            && mayRetryRequest(countAttempt(this.sends, failure), { isRepeatable, maxAttempts });
     }
 
     /** `answeringMs` is for how long the answer had been arriving. */
