Take a refusal without an id for proof only on the first request of a connection

What callers saw: 503, "not run", for orders that a replica had begun (REFUSED), or such an order ran at a second replica (TWICE), after a faulty replica had sent an earlier refusal once more on a kept connection. A request without an id could get another's answer (MIXED). Cause: answersRequest in attempt.ts took any answer without an id that bears Not-Executed, or 421, for the answer to the request that waits; on a connection that has carried another one nothing shows this. The decision stood in the adapter of the connection. Change: proofOfAnswer and requiresNewConnection in core decide from the ids, the kind of answer and how many requests the connection carried before; the attempt only collects these. What proves nothing is in doubt, its connection is reset, logged (strayAnswer) and counted. An upstream that has refused without an id gets calls that may run only once over a connection of their own, so that its refusals stay proof; so do requests without an id.

--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -1,4 +1,11 @@
 /** Decisions about one request (route, upstream, retries), and the lease on planning for all instances. */
+export {
+    type AnswerFacts,
+    type AnswerProof,
+    proofOfAnswer,
+    requiresNewConnection,
+    type SendFacts,
+} from "./answerProof";
 export { type EventDecision, type EventSequence, makeEventSequence } from "./eventSequence";
 export { type EventSplitter, makeEventSplitter, type RawEvent } from "./eventSplitter";
 export * from "./placement";
--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -1,4 +1,5 @@
 /** One attempt: sends a request to one upstream and reads its answer. */
+import { proofOfAnswer, requiresNewConnection } from "@rattanquay/core";
 import { type Timer } from "@rattanquay/timer";
 import { type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
 import { type Socket } from "node:net";
@@ -22,6 +23,8 @@
     /** Returns whether to read on; otherwise reading pauses until `Attempt.resume`. */
     readonly onBytes: (bytes: Buffer) => boolean;
     readonly onEnd: (end: AttemptEnd) => void;
+    /** Called for an answer that proves nothing about the request; the attempt is aborted. */
+    readonly onStrayAnswer: (head: AnswerHead, earlierRequests: number) => void;
 };
 
 export type Attempt = {
@@ -39,6 +42,8 @@
     readonly headers: RawHeaders;
     readonly body: Buffer;
     readonly requestId: string | undefined;
+    /** Whether the request can safely be executed more than once. */
+    readonly isRepeatable: boolean;
     readonly wire: RequestCodec;
     readonly timer: Timer;
 };
@@ -47,8 +52,9 @@
 const connectTimeoutMs = 200;
 
 export function startAttempt(options: AttemptOptions, events: AttemptEvents): Attempt {
-    const { upstream, timer } = options;
-    const { load } = upstream;
+    const { upstream, timer, requestId } = options;
+    const { load, pool } = upstream;
+    let earlierRequests = 0;
     let mayHaveBeenSent = false;
     let ended = false;
     let abortReason: string | undefined;
@@ -91,17 +97,28 @@
             abort("no connection in time");
         }
     });
-    client.on("socket", socket => whenConnected(socket, () => mayHaveBeenSent = true));
+    client.on("socket", socket => {
+        earlierRequests = pool.countRequest(socket);
+        whenConnected(socket, () => mayHaveBeenSent = true);
+    });
     client.on("error", error => fail((error as NodeJS.ErrnoException).code ?? error.message));
     client.on("response", answer => {
         const head = options.wire.readHead(answer);
-        if (!answersRequest(head, options.requestId)) {
-            abort("the answer belongs to another request");
+        const { requestId: answerId, isNotRun } = head;
+        if (isNotRun && answerId === undefined) {
+            pool.noteRefusalWithoutId();
+            // Even where it proves nothing about this request, its upstream has sent it and may be full.
+            load.noteUnreachable(timer.nowMs());
+        }
+        const proof = proofOfAnswer({ requestId, answerId, isNotRun, earlierRequests });
+        if (proof === "nothing") {
+            events.onStrayAnswer(head, earlierRequests);
+            abort("the answer may belong to another request");
             return;
         }
         hasHead = true;
         updateLoad(head, upstream, timer.nowMs());
-        if (head.isNotRun) {
+        if (proof === "notRun") {
             answer.resume();
             finish({ kind: "rejected", head });
             return;
@@ -125,7 +142,9 @@
     return { startedAtMs: timer.nowMs(), abort, resume };
 }
 
-function openRequest({ upstream, method, target, headers }: AttemptOptions): ClientRequest {
+function openRequest(
+    { upstream, method, target, headers, requestId, isRepeatable }: AttemptOptions,
+): ClientRequest {
     const { record: { address }, pool } = upstream;
     const colon = address.lastIndexOf(":");
     return httpRequest({
@@ -134,7 +153,9 @@
         method,
         path: target,
         headers: headers as string[],
-        agent: pool,
+        agent: pool.agentFor(
+            requiresNewConnection({ requestId, isRepeatable, refusesWithoutId: pool.refusesWithoutId() }),
+        ),
     });
 }
 
@@ -159,11 +180,6 @@
     action();
 }
 
-/** Whether an answer carries the request's id. A refusal may lack it, if the upstream had not read the id yet. */
-function answersRequest(head: AnswerHead, requestId: string | undefined): boolean {
-    return head.requestId === requestId || (head.requestId === undefined && head.isNotRun);
-}
-
 function updateLoad(head: AnswerHead, { load }: KnownUpstream, nowMs: number): void {
     if (head.load !== undefined) {
         load.noteReport(head.load, nowMs);
--- a/packages/gateway/src/exchange/attemptRun.ts
+++ b/packages/gateway/src/exchange/attemptRun.ts
@@ -1,5 +1,6 @@
 /** Runs one attempt of an exchange: relays its answer, waits for callers that read slowly, and watches for stalls. */
 import { detectStall } from "@rattanquay/core";
+import { type AnswerHead } from "../ports";
 import { type ObservedEnd } from "../quarantine";
 import { type AdmittedRequest, promptRequestOf } from "./admittedRequest";
 import { type Attempt, type AttemptEnd, type AttemptOptions, startAttempt } from "./attempt";
@@ -54,6 +55,7 @@
             }
             return pauseForCaller();
         },
+        onStrayAnswer: (head, earlierRequests) => noteStrayAnswer(options, head, earlierRequests),
         onEnd: end => {
             cancelStallWatch();
             if (hasExchangeEnded()) {
@@ -86,6 +88,24 @@
     return attempt;
 }
 
+/** Logs and counts an answer that proves nothing about the request that waits on its connection. */
+function noteStrayAnswer(
+    { admitted, dependencies, placement }: AttemptRunOptions,
+    { status, requestId: answerId, isNotRun }: AnswerHead,
+    earlierRequests: number,
+): void {
+    const { log, metrics } = dependencies.context;
+    metrics.strayAnswers.inc({ hasId: String(answerId !== undefined), isNotRun: String(isNotRun) });
+    log.info("strayAnswer", {
+        requestId: admitted.caller.requestId,
+        upstream: placement.upstream.record.id,
+        status,
+        hasId: answerId !== undefined,
+        isNotRun,
+        earlierRequests,
+    });
+}
+
 type Progress = { readonly hasHead: boolean; readonly lastBytesAtMs: number; readonly isPaused: boolean };
 
 function isStalled(
@@ -115,7 +135,7 @@
 }
 
 function attemptOptions({ admitted, dependencies, placement, relay }: AttemptRunOptions): AttemptOptions {
-    const { request, body, caller, workspace, endByMs } = admitted;
+    const { request, body, caller, workspace, endByMs, isRepeatable } = admitted;
     const { timer, ports: { requestCodec } } = dependencies.context;
     const hasBody = request.headers["content-length"] !== undefined || body.length > 0;
     return {
@@ -132,6 +152,7 @@
         }),
         body,
         requestId: caller.requestId,
+        isRepeatable,
         wire: requestCodec,
         timer,
     };
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -22,6 +22,12 @@
             labelNames: ["kind", "result"],
             registers,
         }),
+        strayAnswers: new Counter({
+            name: "rattanquay_gateway_stray_answers_total",
+            help: "Answers of upstreams that do not prove which request they belong to.",
+            labelNames: ["hasId", "isNotRun"],
+            registers,
+        }),
         firstByte: new Histogram({
             name: "rattanquay_gateway_first_byte_seconds",
             help: "From a request's arrival to the first byte of its answer, by kind.",
