Close the connection of a refusal whose body is long or has no end

Cause: on a refusal, startAttempt called answer.resume() and ended the attempt; nothing watched that body any more. Change: discardBody reads at most 16 KiB for at most 250 ms, then resets the connection; a longer length is not read at all. A body of a line leaves its connection to the next request. Evidence: seven cases in answerProof.test.ts (raw sockets; connections are counted 0.5 s after the refusal). Memory under such a body was not measured.

--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -5,6 +5,7 @@
 import { type Socket } from "node:net";
 import { type AnswerHead, type RawHeaders, type RequestCodec } from "../ports";
 import { type KnownUpstream } from "../upstreams";
+import { discardBody } from "./discardBody";
 import { detectReset } from "./resetDetection";
 
 /** How an attempt ended. Each attempt ends exactly once. */
@@ -119,8 +120,8 @@
         hasHead = true;
         updateLoad(head, upstream, timer.nowMs());
         if (proof === "notRun") {
-            answer.resume();
             finish({ kind: "rejected", head });
+            discardBody(answer, timer, () => closeForGood(client));
             return;
         }
         const pause = (): void => {
