--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -1,9 +1,11 @@
 /** One attempt: sends a request to one upstream and reads its answer. */
+import { proofOfAnswer, requiresNewConnection } from "@rattanquay/core";
 import { type Timer } from "@rattanquay/timer";
 import { type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
 import { type Socket } from "node:net";
 import { type AnswerHead, type RawHeaders, type RequestCodec } from "../ports";
 import { type KnownUpstream } from "../upstreams";
+import { discardBody } from "./discardBody";
 import { detectReset } from "./resetDetection";
 
 /** How an attempt ended. Each attempt ends exactly once. */
@@ -24,6 +26,8 @@
     readonly onEnd: (end: AttemptEnd) => void;
     /** Called before `onEnd` if the upstream sends what is no answer; `fault` says what could not be read. */
     readonly onUnreadable: (fault: string) => void;
+    /** Called for an answer that proves nothing about the request; the attempt is aborted. */
+    readonly onStrayAnswer: (head: AnswerHead, earlierRequests: number) => void;
 };
 
 export type Attempt = {
@@ -41,6 +45,8 @@
     readonly headers: RawHeaders;
     readonly body: Buffer;
     readonly requestId: string | undefined;
+    /** Whether the request can safely be executed more than once. */
+    readonly isRepeatable: boolean;
     readonly wire: RequestCodec;
     readonly timer: Timer;
 };
@@ -51,8 +57,9 @@
 const parseErrorPrefix = "HPE_";
 
 export function startAttempt(options: AttemptOptions, events: AttemptEvents): Attempt {
-    const { upstream, timer } = options;
-    const { load } = upstream;
+    const { upstream, timer, requestId } = options;
+    const { load, pool } = upstream;
+    let earlierRequests = 0;
     let mayHaveBeenSent = false;
     let ended = false;
     let abortReason: string | undefined;
@@ -95,7 +102,10 @@
             abort("no connection in time");
         }
     });
-    client.on("socket", socket => whenConnected(socket, () => mayHaveBeenSent = true));
+    client.on("socket", socket => {
+        earlierRequests = pool.countRequest(socket);
+        whenConnected(socket, () => mayHaveBeenSent = true);
+    });
     client.on("error", error => {
         const { code = error.message } = error as NodeJS.ErrnoException;
         if (!ended && code.startsWith(parseErrorPrefix)) {
@@ -111,15 +121,23 @@
             return;
         }
         const { head } = reading;
-        if (!answersRequest(head, options.requestId)) {
-            abort("the answer belongs to another request");
+        const { requestId: answerId, isNotRun } = head;
+        if (isNotRun && answerId === undefined) {
+            pool.noteRefusalWithoutId();
+            // Even where it proves nothing about this request, its upstream has sent it and may be full.
+            load.noteUnreachable(timer.nowMs());
+        }
+        const proof = proofOfAnswer({ requestId, answerId, isNotRun, earlierRequests });
+        if (proof === "nothing") {
+            events.onStrayAnswer(head, earlierRequests);
+            abort("the answer may belong to another request");
             return;
         }
         hasHead = true;
         updateLoad(head, upstream, timer.nowMs());
-        if (head.isNotRun) {
-            answer.resume();
+        if (proof === "notRun") {
             finish({ kind: "rejected", head });
+            discardBody(answer, timer, () => closeForGood(client));
             return;
         }
         const pause = (): void => {
@@ -141,7 +159,9 @@
     return { startedAtMs: timer.nowMs(), abort, resume };
 }
 
-function openRequest({ upstream, method, target, headers }: AttemptOptions): ClientRequest {
+function openRequest(
+    { upstream, method, target, headers, requestId, isRepeatable }: AttemptOptions,
+): ClientRequest {
     const { record: { address }, pool } = upstream;
     const colon = address.lastIndexOf(":");
     return httpRequest({
@@ -150,7 +170,9 @@
         method,
         path: target,
         headers: headers as string[],
-        agent: pool,
+        agent: pool.agentFor(
+            requiresNewConnection({ requestId, isRepeatable, refusesWithoutId: pool.refusesWithoutId() }),
+        ),
     });
 }
 
@@ -175,11 +197,6 @@
     action();
 }
 
-/** Whether an answer carries the request's id. A refusal may lack it, if the upstream had not read the id yet. */
-function answersRequest(head: AnswerHead, requestId: string | undefined): boolean {
-    return head.requestId === requestId || (head.requestId === undefined && head.isNotRun);
-}
-
 function updateLoad(head: AnswerHead, { load }: KnownUpstream, nowMs: number): void {
     if (head.load !== undefined) {
         load.noteReport(head.load, nowMs);
