--- a/packages/gateway/src/control/prober.ts
+++ b/packages/gateway/src/control/prober.ts
@@ -37,10 +37,19 @@
 
 export function makeProber(engines: EngineControl, timer: Timer, log: Log): Prober {
     const probeStates = new Map<string, ProbeState>();
+    const requestReport = async (record: UpstreamRecord): Promise<EngineReport | undefined> => {
+        try {
+            return await engines.report(record, probeTimeoutMs);
+        }
+        catch (error) {
+            log.error("probeFailed", { upstream: record.id, error: (error as Error).stack ?? String(error) });
+            return undefined;
+        }
+    };
     const probeOne = async (record: UpstreamRecord, entry: ProbeState): Promise<void> => {
         entry.probedAtMs = timer.nowMs();
         entry.isProbing = true;
-        const report = await engines.report(record, probeTimeoutMs);
+        const report = await requestReport(record);
         entry.isProbing = false;
         if (report === undefined && timer.nowMs() - entry.probedAtMs > probeTimeoutMs + pauseToleranceMs) {
             return;
