Leave out each entry that names no usable replica, and say so in the log and a counter

Cause: `decodeEntry` took for a replica what has a service, any text with a colon and digits as address, and a few fields of the right type: any key, ports and hosts without bounds, numbers such as 1e300, fields missing that each replica writes, text with invalid UTF-8. What else reads such records (relays' subscribers) checked no more.

Change: `checkRecord` (packages/schema, usableRecord.ts) is the one place that says what a record must hold, with a typed result: usable, or unusable and why. Entries of the store pass it, and records from a peer, which may be of another version: an unusable one counts as removed there too. Fields that PROTOCOL.md names of each entry must be present. A row's value that is no base64 of UTF-8 text has no text. `parseRow` has the same result for all rows. `rowUnusable` (10 lines a second, a row once a minute) and `rattanquay_gateway_unusable_rows_total` tell of them.

Nesting: JSON.parse of Node 20 reads 100,000 levels without recursion, and the schemas drop fields of other names, so nothing nested is passed on; the tests hold this. JSON.stringify and cbor-x's encode do overflow from 10,000 levels (tried by hand).

decoding.test.ts: `undefined` became `kind: "unusable"`, on the same texts.

--- a/packages/gateway/src/clusterState/watchClusterState.ts
+++ b/packages/gateway/src/clusterState/watchClusterState.ts
@@ -2,6 +2,7 @@
 import { type UpstreamRecord } from "@rattanquay/schema";
 import { type GatewayContext } from "../gatewayContext";
 import { type RemovedRow, type StoredRow } from "../ports";
+import { makeRowFaults } from "../rowFaults";
 import { type ClusterState, makeClusterState, type Revisioned } from "./clusterState";
 import { type TableWatch, watchTable } from "./tableWatch";
 
@@ -38,13 +39,14 @@
 
 export function watchClusterState(context: GatewayContext, isPlanner: () => boolean): ClusterStateWatch {
     const { log, metrics, ports, settings, timer } = context;
+    const faults = makeRowFaults(context);
     const clusterState = makeClusterState(log, metrics);
     let isRelaying = false;
     const { configuration: configSource, upstreams: upstreamSource } = ports.sources;
 
     const applyConfigurations = (rows: readonly StoredRow[]): void => {
         for (const row of rows) {
-            const config = configSource.decode(row);
+            const config = faults.take(row, configSource.decode(row));
             if (config !== undefined) {
                 clusterState.applyConfiguration(config, "store");
             }
@@ -63,7 +65,7 @@
         const records: Revisioned<UpstreamRecord>[] = [];
         const unreadable: RemovedRow[] = [];
         for (const row of rows) {
-            const value = upstreamSource.decode(row);
+            const value = faults.take(row, upstreamSource.decode(row));
             if (value === undefined) {
                 unreadable.push(row);
             }
--- a/packages/gateway/src/control/groupRows.ts
+++ b/packages/gateway/src/control/groupRows.ts
@@ -3,6 +3,7 @@
 import { EngineGroup, type WeightLoad, WeightLoads } from "@rattanquay/schema";
 import { type GatewayContext } from "../gatewayContext";
 import { parseRow } from "../parseRow";
+import { makeRowFaults } from "../rowFaults";
 import { type LeaseKeeper } from "./leaseKeeper";
 import { groupTable, loadKey, loadTable } from "./tables";
 
@@ -22,7 +23,9 @@
 
 export type PlannedRows = Pick<GroupPlan, "form" | "rewrite" | "remove" | "loads">;
 
-export function makeGroupRows({ ports: { store }, log }: GatewayContext, lease: LeaseKeeper): GroupRows {
+export function makeGroupRows(context: GatewayContext, lease: LeaseKeeper): GroupRows {
+    const { ports: { store }, log } = context;
+    const faults = makeRowFaults(context);
     let groups: Map<string, EngineGroup> | undefined;
     const applyPlan = ({ form, rewrite, remove }: PlannedRows): void => {
         rewrite.forEach(group => groups?.set(group.group, group));
@@ -56,8 +59,8 @@
             if (groupRows.kind !== "done" || loadRow.kind !== "done") {
                 return undefined;
             }
-            const found = groupRows.value.flatMap(({ text }) => parseRow(EngineGroup, text) ?? []);
-            const loads = loadRow.value.flatMap(({ text }) => parseRow(WeightLoads, text) ?? []);
+            const found = groupRows.value.flatMap(row => faults.take(row, parseRow(EngineGroup, row)) ?? []);
+            const loads = loadRow.value.flatMap(row => faults.take(row, parseRow(WeightLoads, row)) ?? []);
             groups = new Map(found.map(group => [group.group, shiftGroup(group, -lease.storeClockAheadMs())]));
             log.info("groupsRead", { groups: groups.size, loads: loads.length, fence: lease.fence() });
             return shiftLoads(loads, -lease.storeClockAheadMs());
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,6 +3,7 @@
 export { detectReset } from "./exchange";
 export { type Gateway, type GatewayOptions, startGateway } from "./gateway";
 export { type GatewayMetrics, makeGatewayMetrics } from "./metrics";
+export { parseRow } from "./parseRow";
 export * from "./ports";
 export { GatewaySettings } from "./settings";
 export { ConnectionPool } from "./upstreams";
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -83,6 +83,12 @@
             labelNames: ["decision"],
             registers,
         }),
+        unusableRows: new Counter({
+            name: "rattanquay_gateway_unusable_rows_total",
+            help: "Rows of the store, and records from peers, that could not be used, each time one was read.",
+            labelNames: ["table"],
+            registers,
+        }),
         logLinesDropped: new Counter({
             name: "rattanquay_gateway_log_lines_dropped_total",
             help: "Log lines left out because of the bound on their rate or a reader that does not keep up.",
--- a/packages/gateway/src/parseRow.ts
+++ b/packages/gateway/src/parseRow.ts
@@ -1,12 +1,19 @@
-/** Parses one of the gateway's rows. */
+/** Parses the text of a row. */
+import { type Checked, checkValue } from "@rattanquay/schema";
 import { type ZodType } from "zod";
+import { type StoredRow } from "./ports";
 
-/** Undefined if the text does not match the schema, which another version of the program may cause. */
-export function parseRow<T>(schema: ZodType<T>, text: string): T | undefined {
+/** Parses the row's text as JSON and checks it against the schema. Never throws, whatever the row holds. */
+export function parseRow<T>(schema: ZodType<T>, { text }: Pick<StoredRow, "text">): Checked<T> {
+    if (text === undefined) {
+        return { kind: "unusable", reason: "the value is not base64 of UTF-8 text" };
+    }
+    let input: unknown;
     try {
-        return schema.safeParse(JSON.parse(text)).data;
+        input = JSON.parse(text);
     }
     catch {
-        return undefined;
+        return { kind: "unusable", reason: "the text is not JSON" };
     }
+    return checkValue(schema, input);
 }
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -9,6 +9,7 @@
 import { instanceTable } from "../control";
 import { type GatewayContext } from "../gatewayContext";
 import { parseRow } from "../parseRow";
+import { makeRowFaults } from "../rowFaults";
 
 export type PeerDirectory = {
     /** The registered processes other than this one. */
@@ -38,6 +39,7 @@
     const { instance, availabilityZone, listeners, seeds, cores } = settings;
     const ownAddress = listeners.peers === undefined ? undefined : `${listeners.peers.host}:${listeners.peers.port}`;
     const at = { table: instanceTable, key: instance };
+    const faults = makeRowFaults(context);
     let running = true;
     let registered = ownAddress === undefined;
     let peers: readonly GatewayInstance[] = [];
@@ -51,7 +53,7 @@
     const readStore: InstanceSource = async () => {
         const outcome = await store.read(instanceTable);
         return outcome.kind === "done"
-            ? outcome.value.flatMap(({ text }) => parseRow(GatewayInstance, text) ?? [])
+            ? outcome.value.flatMap(row => faults.take(row, parseRow(GatewayInstance, row)) ?? [])
             : undefined;
     };
     const read = async (mustReadStore: boolean): Promise<boolean> => {
--- a/packages/gateway/src/peers/stateAnswers.ts
+++ b/packages/gateway/src/peers/stateAnswers.ts
@@ -1,6 +1,10 @@
 /** Requests for cluster state between peers: what a peer answers, and how an answer is applied. */
-import { type GatewayAnswer, type GatewayRequest } from "@rattanquay/schema";
+import { checkRecord, type GatewayAnswer, type GatewayRequest } from "@rattanquay/schema";
 import { type ClusterState } from "../clusterState";
+import { type RowFaults } from "../rowFaults";
+
+/** Stands for the table in reports of records that came from peers. */
+const peerRecords = "records of peers";
 
 type StateRequest = Extract<GatewayRequest, { kind: "clusterState" }>;
 type StateAnswer = Extract<GatewayAnswer, { kind: "clusterState" }>;
@@ -22,15 +26,27 @@
     };
 }
 
-export function applyStateAnswer(answer: StateAnswer, clusterState: ClusterState): void {
+/** A record that names no usable upstream counts as removed: a peer of another version may keep one. */
+export function applyStateAnswer(answer: StateAnswer, clusterState: ClusterState, faults: RowFaults): void {
+    const records: StateAnswer["records"] = [];
+    const removals = [...answer.removals];
+    for (const { value, revision } of answer.records) {
+        const usable = faults.take({ table: peerRecords, key: value.id }, checkRecord(value));
+        if (usable === undefined) {
+            removals.push({ id: value.id, revision });
+        }
+        else {
+            records.push({ value: usable, revision });
+        }
+    }
     if (answer.config !== undefined) {
         clusterState.applyConfiguration(answer.config, "peer");
     }
     if (answer.isWhole) {
-        clusterState.applySnapshot(answer.records, answer.asOf, "peer");
+        clusterState.applySnapshot(records, answer.asOf, "peer");
         return;
     }
-    clusterState.applyRecords(answer.records, "peer");
-    clusterState.applyRemovals(answer.removals, "peer");
+    clusterState.applyRecords(records, "peer");
+    clusterState.applyRemovals(removals, "peer");
     clusterState.advanceAsOf(answer.asOf);
 }
--- a/packages/gateway/src/peers/stateFollower.ts
+++ b/packages/gateway/src/peers/stateFollower.ts
@@ -8,6 +8,7 @@
 import { type GatewayInstance, type StateNotice } from "@rattanquay/schema";
 import { type ClusterStateWatch } from "../clusterState";
 import { type GatewayContext } from "../gatewayContext";
+import { makeRowFaults } from "../rowFaults";
 import { type Links } from "./links";
 import { type InstanceSource, type PeerDirectory } from "./peerDirectory";
 import { applyStateAnswer, makeStateRequest } from "./stateAnswers";
@@ -45,6 +46,7 @@
 export function startStateFollower(options: StateFollowerOptions): StateFollower {
     const { context: { settings, timer, log }, watch, directory, links } = options;
     const { clusterState } = watch;
+    const faults = makeRowFaults(options.context);
     const source = makeStateSource(settings.instance);
     const subscribedAtMs = new Map<string, number>();
     const requesting = new Set<string>();
@@ -102,7 +104,7 @@
         const answer = await links.ask(address, makeStateRequest(clusterState), requestTimeoutMs);
         requesting.delete(instance);
         if (answer?.kind === "clusterState") {
-            applyStateAnswer(answer, clusterState);
+            applyStateAnswer(answer, clusterState, faults);
         }
     };
     const cancelSteps = timer.every(stepEveryMs, step);
--- a/packages/gateway/src/peers/stateSync.ts
+++ b/packages/gateway/src/peers/stateSync.ts
@@ -2,6 +2,7 @@
 import { type Cancel } from "@rattanquay/timer";
 import { type ClusterStateWatch } from "../clusterState";
 import { type GatewayContext } from "../gatewayContext";
+import { makeRowFaults } from "../rowFaults";
 import { type Links } from "./links";
 import { type PeerDirectory } from "./peerDirectory";
 import { type QuarantineExchange } from "./quarantineExchange";
@@ -22,9 +23,10 @@
 const sameZoneShare = 0.6;
 
 export function startStateSync(
-    { context: { settings: { availabilityZone }, timer, random }, watch, directory, links, quarantineExchange }:
-        StateSyncOptions,
+    { context, watch, directory, links, quarantineExchange }: StateSyncOptions,
 ): Cancel {
+    const { settings: { availabilityZone }, timer, random } = context;
+    const faults = makeRowFaults(context);
     const { clusterState, configuration, upstreams } = watch;
     const isStateMissing = (): boolean =>
         configuration.isUnavailable()
@@ -38,7 +40,7 @@
         }
         const answer = await links.ask(address, makeStateRequest(clusterState), askTimeoutMs);
         if (answer?.kind === "clusterState") {
-            applyStateAnswer(answer, clusterState);
+            applyStateAnswer(answer, clusterState, faults);
         }
     };
     /** A process that has just started knows no quarantine, and its peers may not know of it yet. */
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -1,13 +1,20 @@
 /** The interfaces between a gateway and its platform. An adapter implements them; none depends on a wire format. */
 import { type LoadReport, type OrderResult } from "@rattanquay/core";
-import { type EngineOrder, type EngineReport, type ServingConfig, type UpstreamRecord } from "@rattanquay/schema";
+import {
+    type Checked,
+    type EngineOrder,
+    type EngineReport,
+    type ServingConfig,
+    type UpstreamRecord,
+} from "@rattanquay/schema";
 import { type IncomingMessage } from "node:http";
 
 /** A row with the revision of the transaction that last wrote it; one counter serves the whole store. */
 export type StoredRow = {
     readonly table: string;
     readonly key: string;
-    readonly text: string;
+    /** Undefined if the value is no text. */
+    readonly text: string | undefined;
     readonly revision: number;
 };
 
@@ -50,10 +57,13 @@
     readonly write: (transaction: RowTransaction) => Promise<StoreOutcome<void>>;
 };
 
-/** A table that other programs write, and how to decode its rows. `decode` returns undefined for an unusable row. */
+/** A row that was decoded; `unrelated` if the table holds it for another purpose. */
+export type DecodedRow<T> = Checked<T> | { readonly kind: "unrelated" };
+
+/** A table that other programs write, and how to decode its rows. */
 export type RecordSource<T> = {
     readonly table: string;
-    readonly decode: (row: StoredRow) => T | undefined;
+    readonly decode: (row: StoredRow) => DecodedRow<T>;
 };
 
 export type Sources = {
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -12,3 +12,4 @@
 export * from "./settings";
 export * from "./table";
 export * from "./ticket";
+export * from "./usableRecord";
