Leave out odd rows of the system's own tables, and go on planning beside them

What could happen: a row of another writer among the processes with a port above 65,535 ended each process that read it; a group without members ended each holder of the planning lease; a lease whose term has no end kept all processes from planning. Not seen by callers: the tables are the system's own, but any writer may write there.

Cause: `dial` throws for such a port, inside timers of the gossip; the planner relies on a first member; a lease that could be read was believed. An unreadable lease row began the fences anew, so that names of groups could have been used twice.

Change: the schemas of groups, fetches and leases have the bounds that the code relies on. `UsableInstance` says what a process must list; the directory applies it to the store's rows and to a relay's list. A lease row that is unreadable, ends later than ten terms from now or has a fence above its revision stands for a term that began when it was first read, with its revision as fence, which no earlier fence exceeds.

--- a/packages/gateway/src/control/leaseKeeper.ts
+++ b/packages/gateway/src/control/leaseKeeper.ts
@@ -9,12 +9,11 @@
     type PlanningLeaseState,
     type PlanningLeaseStep,
 } from "@rattanquay/core";
-import { PlanningLease } from "@rattanquay/schema";
+import { type PlanningLease } from "@rattanquay/schema";
 import { type GatewayContext } from "../gatewayContext";
-import { parseRow } from "../parseRow";
 import { type PlanningCandidacy } from "../peers";
 import { type RowTransaction, type StoreOutcome } from "../ports";
-import { makeRowFaults } from "../rowFaults";
+import { makeLeaseDecoder } from "./leaseRow";
 import { leaseKey, leaseTable } from "./tables";
 
 export type LeaseKeeper = {
@@ -57,7 +56,7 @@
     const { ports: { store }, settings, timer, log, metrics, random } = context;
     // A restarted process has lost its state about orders, so it must count as a new holder despite its unchanged name.
     const holder = `${settings.instance}/${Math.floor(random() * Number.MAX_SAFE_INTEGER).toString(36)}`;
-    const faults = makeRowFaults(context);
+    const decodeRow = makeLeaseDecoder(context, termMs);
     let state: PlanningLeaseState = initialPlanningLease;
     const options = (): LeaseOptions => {
         const { isPreferred, preferredCount, otherCount } = candidacy();
@@ -98,7 +97,7 @@
         const row = outcome.value.find(({ key }) => key === leaseKey);
         const { sentAtMs, storeNowMs } = outcome.stamp;
         const reading = {
-            row: row === undefined ? undefined : faults.take(row, parseRow(PlanningLease, row)),
+            row: row === undefined ? undefined : decodeRow(row, storeNowMs),
             revision: row?.revision ?? 0,
             storeNowMs,
             sentAtMs,
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -4,7 +4,7 @@
  * After the first reads, a process asks a relay for the list, since reads of all rows by all processes would grow with
  * the square of their number.
  */
-import { GatewayInstance } from "@rattanquay/schema";
+import { checkValue, type GatewayInstance, UsableInstance } from "@rattanquay/schema";
 import { sleep } from "@rattanquay/timer";
 import { instanceTable } from "../control";
 import { type GatewayContext } from "../gatewayContext";
@@ -50,14 +50,17 @@
         const outcome = await store.write({ expected: [], put: [{ ...at, text: JSON.stringify(own) }], remove: [] });
         registered = outcome.kind === "done";
     };
+    /** A relay of another version may list processes that it cannot connect to either. */
+    const takeListed = (listed: GatewayInstance): GatewayInstance | readonly GatewayInstance[] =>
+        faults.take({ table: instanceTable, key: listed.instance }, checkValue(UsableInstance, listed)) ?? [];
     const readStore: InstanceSource = async () => {
         const outcome = await store.read(instanceTable);
         return outcome.kind === "done"
-            ? outcome.value.flatMap(row => faults.take(row, parseRow(GatewayInstance, row)) ?? [])
+            ? outcome.value.flatMap(row => faults.take(row, parseRow(UsableInstance, row)) ?? [])
             : undefined;
     };
     const read = async (mustReadStore: boolean): Promise<boolean> => {
-        const found = (mustReadStore ? undefined : await source()) ?? await readStore();
+        const found = (mustReadStore ? undefined : (await source())?.flatMap(takeListed)) ?? await readStore();
         if (found === undefined) {
             return false;
         }
--- a/packages/schema/src/serving.ts
+++ b/packages/schema/src/serving.ts
@@ -156,12 +156,12 @@
 
 /** A group as the lease holder recorded it before sending the first order. Its name and epoch are never reused. */
 export const EngineGroup = z.object({
-    group: z.string(),
-    epoch: z.number(),
+    group: z.string().min(1),
+    epoch: z.number().int().min(0),
     service: z.string(),
     model: z.string(),
     /** The first is the head. */
-    members: z.array(GroupMember),
+    members: z.array(GroupMember).min(1),
     /**
      * Start of the time in which a member has been missing while others were seen; the next lease holder continues from it.
      * It is on the clock of the process that keeps the row; in the store it is on the store's clock.
@@ -170,6 +170,9 @@
 });
 export type EngineGroup = z.infer<typeof EngineGroup>;
 
+/** A day, far longer than any fetch takes. */
+const maxLoadMs = 86_400_000;
+
 /**
  * A fetch of weights from the weight store to the host of one incarnation. `beganAtMs` is on the clock of the process that
  * keeps the record; in the store it is on the store's clock.
@@ -180,7 +183,7 @@
     model: z.string(),
     beganAtMs: z.number(),
     /** Duration of the fetch when the weight store is not overloaded. */
-    loadMs: z.number(),
+    loadMs: z.number().min(0).max(maxLoadMs),
 });
 export type WeightLoad = z.infer<typeof WeightLoad>;
 
@@ -191,7 +194,7 @@
 export const PlanningLease = z.object({
     holder: z.string(),
     /** Increases with each change of holder. */
-    fence: z.number(),
+    fence: z.number().int().min(0),
     untilStoreMs: z.number(),
 });
 export type PlanningLease = z.infer<typeof PlanningLease>;
--- a/packages/schema/src/usableRecord.ts
+++ b/packages/schema/src/usableRecord.ts
@@ -5,6 +5,7 @@
  * holds, so that they reject only what no upstream says of itself.
  */
 import { z } from "zod";
+import { GatewayInstance } from "./gatewayPeer";
 import { GroupMembership, UpstreamRecord } from "./serving";
 
 const maxNameLength = 256;
@@ -13,6 +14,7 @@
 const maxSlots = 1_000_000;
 const maxRank = 100_000;
 const maxPort = 65_535;
+const maxCores = 100_000;
 
 const Name = z.string().min(1).max(maxNameLength);
 const Names = z.array(Name).max(maxListedModels);
@@ -39,6 +41,14 @@
     membership: GroupMembership.extend({ group: Name, epoch: Count, rank: Count.max(maxRank) }).optional(),
 });
 
+/** What the row of a gateway process must hold for its peers to connect to it. */
+export const UsableInstance = GatewayInstance.extend({
+    instance: Name,
+    availabilityZone: Name,
+    address: HostAndPort,
+    cores: z.number().positive().max(maxCores).optional(),
+});
+
 /** A value from outside the system that was checked: usable, or not and why. */
 export type Checked<T> =
     | { readonly kind: "usable"; readonly value: T }
