Take a report with figures out of range for no answer

What could happen: a report of 1e300 requests, a negative number or a group's epoch that is no whole number went into the planner's utilization. Not seen by callers.

Cause: the schema of reports had no bounds. Deep nesting was harmless.

Change: bounds in `decodeReport`, with a typed result; the group is held to `UsableMembership`, as in records. An unusable report counts as no answer, as one that is not JSON did before. No line of its own: `engineSilent` follows after three.

--- a/packages/schema/src/usableRecord.ts
+++ b/packages/schema/src/usableRecord.ts
@@ -28,6 +28,9 @@
 /** IPv4 address and port. */
 export const HostAndPort = z.string().refine(isHostAndPort, "expected an IPv4 address and a port from 1 to 65535");
 
+/** What an upstream may say of its group, in its record or in a report. */
+export const UsableMembership = GroupMembership.extend({ group: Name, epoch: Count, rank: Count.max(maxRank) });
+
 const UsableRecord = UpstreamRecord.extend({
     id: HeaderText,
     service: Name,
@@ -38,7 +41,7 @@
     fabricDomain: z.string().max(maxNameLength).optional(),
     stagedModels: Names,
     loadedModels: Names,
-    membership: GroupMembership.extend({ group: Name, epoch: Count, rank: Count.max(maxRank) }).optional(),
+    membership: UsableMembership.optional(),
 });
 
 /** What the row of a gateway process must hold for its peers to connect to it. */
