Let an error that nothing expected end its own request at most, not the process

What callers saw: LOST for everything that a process had in flight, whenever one request, one odd byte or a log reader that had gone away made something throw. Cause: any uncaught exception and any rejected promise that nobody awaits ended the process, as if its state were in doubt; so did an error in serving one request, an error in giving up the lease during a stop, and EPIPE on standard output.

--- /dev/null
+++ b/packages/gateway/src/errorFields.ts
@@ -0,0 +1,4 @@
+/** The fields of a log line about an error that nothing expected. */
+export function errorFields(error: unknown): { readonly error: string } {
+    return { error: error instanceof Error ? error.stack ?? error.message : String(error) };
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
 import { sleep, type Timer } from "@rattanquay/timer";
 import { watchClusterState } from "./clusterState";
 import { type Planning, startPlanning } from "./control";
+import { errorFields } from "./errorFields";
 import { type ExchangeDependencies, makeStallWatch, makeUnreadableAnswers, serveRequest } from "./exchange";
 import { type GatewayContext } from "./gatewayContext";
 import { type Lifetime, makeLifetime, type Stop } from "./lifetime";
@@ -116,7 +117,7 @@
         log.info("leaving", { inFlight: callerListener.inFlight(), connections: callerListener.openConnections() });
         // Not awaited: the store may not answer, and finishing callers' requests takes precedence.
         const releases = Promise.all([planning.release(), peers.leave()]);
-        releases.catch(error => context.onFatalError("leaving", error));
+        releases.catch((error: unknown) => log.error("leaveFailed", errorFields(error)));
         const cut = await drain(callerListener, lifetime, timer, stop);
         kill();
         log.info("stopped", { cut });
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 /** The gateway: serves requests and plans engine groups on an external platform, which it uses through ports. */
 export { type ClusterState, makeClusterState, type RemovedId, type Revisioned } from "./clusterState";
+export { errorFields } from "./errorFields";
 export { detectReset } from "./exchange";
 export { type Gateway, type GatewayOptions, startGateway } from "./gateway";
 export { type GatewayMetrics, makeGatewayMetrics } from "./metrics";
--- a/packages/gateway/src/listeners/callerListener.ts
+++ b/packages/gateway/src/listeners/callerListener.ts
@@ -1,6 +1,7 @@
 /** The listener for caller requests. */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { type ClusterState } from "../clusterState";
+import { errorFields } from "../errorFields";
 import { type GatewayContext } from "../gatewayContext";
 import { type CallerConnection, makeCallerConnections } from "./callerConnections";
 
@@ -29,7 +30,7 @@
     clusterState: ClusterState,
     context: GatewayContext,
 ): Promise<CallerListener> {
-    const { settings: { listeners: { callers } }, metrics, timer, onFatalError } = context;
+    const { settings: { listeners: { callers } }, metrics, timer, log } = context;
     const connections = makeCallerConnections(timer.nowMs);
     let isDraining = false;
     const server = createServer({ connectionsCheckingInterval, requireHostHeader: false }, (request, response) => {
@@ -39,7 +40,11 @@
             response.shouldKeepAlive = false;
         }
         response.once("close", () => metrics.inFlight.set(connections.running().size));
-        serve(request, response, connection).catch(error => onFatalError("callerListener", error));
+        serve(request, response, connection).catch((error: unknown) => {
+            metrics.unexpectedErrors.inc({ origin: "request" });
+            log.error("unexpectedError", { origin: "request", path: request.url, ...errorFields(error) });
+            request.socket.resetAndDestroy();
+        });
     });
     server.headersTimeout = defaultHeaderTimeoutMs;
     server.keepAliveTimeout = defaultIdleTimeoutMs;
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -22,17 +22,6 @@
             labelNames: ["kind", "result"],
             registers,
         }),
-        unreadableAnswers: new Counter({
-            name: "rattanquay_gateway_unreadable_answers_total",
-            help: "Answers of upstreams whose head or framing could not be read; each ended its attempt.",
-            registers,
-        }),
-        strayAnswers: new Counter({
-            name: "rattanquay_gateway_stray_answers_total",
-            help: "Answers of upstreams that do not prove which request they belong to.",
-            labelNames: ["hasId", "isNotRun"],
-            registers,
-        }),
         firstByte: new Histogram({
             name: "rattanquay_gateway_first_byte_seconds",
             help: "From a request's arrival to the first byte of its answer, by kind.",
@@ -94,12 +83,36 @@
             labelNames: ["decision"],
             registers,
         }),
+        ...faultMetrics(registers),
+    };
+}
+
+/** What others sent that could not be used, and what went wrong here. */
+function faultMetrics(registers: Registry[]) {
+    return {
+        unreadableAnswers: new Counter({
+            name: "rattanquay_gateway_unreadable_answers_total",
+            help: "Answers of upstreams whose head or framing could not be read; each ended its attempt.",
+            registers,
+        }),
+        strayAnswers: new Counter({
+            name: "rattanquay_gateway_stray_answers_total",
+            help: "Answers of upstreams that do not prove which request they belong to.",
+            labelNames: ["hasId", "isNotRun"],
+            registers,
+        }),
         unusableRows: new Counter({
             name: "rattanquay_gateway_unusable_rows_total",
             help: "Rows of the store, and records from peers, that could not be used, each time one was read.",
             labelNames: ["table"],
             registers,
         }),
+        unexpectedErrors: new Counter({
+            name: "rattanquay_gateway_unexpected_errors_total",
+            help: "Errors that nothing caught or expected; the process goes on.",
+            labelNames: ["origin"],
+            registers,
+        }),
         logLinesDropped: new Counter({
             name: "rattanquay_gateway_log_lines_dropped_total",
             help: "Log lines left out because of the bound on their rate or a reader that does not keep up.",
