Judge an answer that is passed on by its progress, also without engines

Cause: `detectStall` judged every attempt at such a service by the time since it was sent, to its end. A stream that lasts longer than 1.5 times the objective was given up, sent again, and cut once its attempts or the budget of repeats were used up; its upstream was doubted meanwhile. The same doubt fell on upstreams that send a large answer.

Change: what the caller gets as it arrives (a stream after its head, an answer above the buffer's size) is judged by the time since its last bytes, as at engines, and is never given up sooner than before: the limit is at least 1.5 times the objective. Up to its first event that counts from the sending. Before its head nothing changes, nor does anything at engines.

An answer above the buffer's size was not given up for a stall before, as it can't be asked for again; now its upstream isn't doubted while bytes come. A smaller one that is late is asked for again as before, though its bytes come: the caller has nothing of it yet, and another upstream may still be in time.

The fixture of upstreamState.test.ts gets the new field; its cases stay as they were.

--- a/packages/core/src/serving/__tests__/upstreamState.test.ts
+++ b/packages/core/src/serving/__tests__/upstreamState.test.ts
@@ -116,6 +116,7 @@
     predictedMs: 100,
     sentAtMs: 0,
     hasHead: false,
+    isPassedOn: false,
     lastBytesAtMs: 0,
     upstreamProgressAtMs: -Infinity,
 };
--- a/packages/core/src/serving/stallDetection.ts
+++ b/packages/core/src/serving/stallDetection.ts
@@ -18,6 +18,9 @@
     readonly sentAtMs: number;
     /** Whether the response has started. */
     readonly hasHead: boolean;
+    /** Whether the caller gets the answer as it arrives; otherwise it gets nothing before the answer is complete. */
+    readonly isPassedOn: boolean;
+    /** When the last part of its body arrived; before the first one, when the attempt was sent. */
     readonly lastBytesAtMs: number;
     /** When any known entry instance last received anything from this upstream. */
     readonly upstreamProgressAtMs: number;
@@ -41,12 +44,19 @@
 /** A first event is overdue after the prediction times this factor, plus the slack below. */
 const predictionFactor = 2;
 const predictionSlackMs = 150;
-/** A plain response may take this many times its latency objective. */
+/**
+ * A plain response may take this many times its latency objective: to the end, as nothing of it helps the caller before.
+ * One that is passed on may take it to the first part, and between two parts.
+ */
 const plainTimeoutFactor = 1.5;
 
 export function detectStall(send: PendingAttempt, nowMs: number): StallState {
     if (!send.isEngine) {
-        return nowMs - send.sentAtMs > send.objectiveMs * plainTimeoutFactor ? "stalled" : "moves";
+        const timeoutMs = send.objectiveMs * plainTimeoutFactor;
+        if (send.isPassedOn) {
+            return checkStream({ ...send, longestPauseMs: Math.max(send.longestPauseMs, timeoutMs) }, nowMs);
+        }
+        return nowMs - send.sentAtMs > timeoutMs ? "stalled" : "moves";
     }
     return send.hasHead ? checkStream(send, nowMs) : checkFirstEvent(send, nowMs);
 }
--- a/packages/gateway/src/exchange/attemptRun.ts
+++ b/packages/gateway/src/exchange/attemptRun.ts
@@ -84,7 +84,7 @@
     };
     const watch = dependencies.quarantine.watch(promptRequestOf(admitted), placement.upstream, attempt.abort);
     const cancelStallWatch = dependencies.stallWatch.add(
-        nowMs => isStalled(options, attempt, progress, nowMs),
+        nowMs => isStalled(options, attempt, { ...progress, isPassedOn: reader.isPassedOn() }, nowMs),
         () => attempt.abort("nothing came from the upstream"),
     );
     return attempt;
@@ -108,12 +108,17 @@
     });
 }
 
-type Progress = { readonly hasHead: boolean; readonly lastBytesAtMs: number; readonly isPaused: boolean };
+type Progress = {
+    readonly hasHead: boolean;
+    readonly isPassedOn: boolean;
+    readonly lastBytesAtMs: number;
+    readonly isPaused: boolean;
+};
 
 function isStalled(
     { admitted: { service, route }, placement, canRetryElsewhere }: AttemptRunOptions,
     { startedAtMs }: Attempt,
-    { hasHead, lastBytesAtMs, isPaused }: Progress,
+    { hasHead, isPassedOn, lastBytesAtMs, isPaused }: Progress,
     nowMs: number,
 ): boolean {
     if (isPaused) {
@@ -127,6 +132,7 @@
         predictedMs: placement.predictedMs,
         sentAtMs: startedAtMs,
         hasHead,
+        isPassedOn,
         lastBytesAtMs,
         upstreamProgressAtMs: load.progressAtMs(),
     }, nowMs);
--- a/packages/gateway/src/exchange/relays.ts
+++ b/packages/gateway/src/exchange/relays.ts
@@ -36,6 +36,8 @@
     readonly onEnd: (end: AttemptEnd) => AttemptResult;
     /** Whether the upstream has written a part of a successful answer; of a stream, a complete event. */
     readonly hasOutput: () => boolean;
+    /** Whether what arrives is passed on to the caller at once. */
+    readonly isPassedOn: () => boolean;
 };
 
 type Hooks = { readonly onFirstByte: () => void };
@@ -104,6 +106,7 @@
             return writer.sendWhole(answer) ? { kind: "answered", status } : unfitAnswer;
         },
         hasOutput: () => size > 0 && head !== undefined && isSuccess(head.status),
+        isPassedOn: () => body !== undefined,
     };
 }
 
@@ -140,6 +143,7 @@
             return events.end() ? { kind: "answered", status: head.status } : unfitAnswer;
         },
         hasOutput: () => hasOutput,
+        isPassedOn: () => true,
     };
 }
 
@@ -167,6 +171,7 @@
             onBytes: bytes => reader.onBytes(bytes),
             onEnd: end => reader.onEnd(end),
             hasOutput: () => reader.hasOutput(),
+            isPassedOn: () => reader.isPassedOn(),
         };
     };
     return { lastEventId: answer.lastEventId, begin };
