--- a/packages/lab/src/__tests__/gracefulStop.test.ts
+++ b/packages/lab/src/__tests__/gracefulStop.test.ts
@@ -23,7 +23,7 @@
     cluster = await startProcessCluster({
         ...defaultSpec,
         zones: 1,
-        entriesPerZone: 4,
+        entriesPerZone: 3,
         concurrency: 32,
         engine: { maxRunning: 32 },
         settings: { limits: { shutdownNoticeMs: noticeMs, shutdownGraceMs: 20_000 } },
@@ -77,21 +77,6 @@
     assert.is(eventsOf(name).find(({ message }) => message === "stopped")?.cut, 0);
 });
 
-test("a request on an unused connection after the notice period is refused as not run, while streams still run", async () => {
-    const { port, child } = cluster.entries[3]!;
-    const calls = await startStreams(port, 1);
-    const socket = connect(port, "127.0.0.1");
-    await once(socket, "connect");
-    const exit = exitOf(child);
-    child.kill("SIGTERM");
-    await sleep(systemTimer, noticeMs + 300);
-    socket.write("GET /v1/models HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer key\r\n\r\n");
-    const answer = (await text(socket)).toLowerCase();
-    assert.match(answer, /^http\/1.1 503 .*connection: close.*"code":"notready"/s);
-    assert.ok((await Promise.all(calls)).every(({ whole }) => whole));
-    assert.is(await exit, 0);
-});
-
 test("a second SIGTERM stops at once, and no cut stream looks whole", async () => {
     const { name, port, child } = cluster.entries[1]!;
     const calls = await startStreams(port);
@@ -120,4 +105,19 @@
     assert.match(String(ended?.traceId), /^[0-9a-f]{32}$/);
 });
 
+test("a request on an unused connection after the notice period is refused as not run, while streams still run", async () => {
+    const { port, child } = cluster.entries[2]!;
+    const calls = await startStreams(port, 1);
+    const socket = connect(port, "127.0.0.1");
+    await once(socket, "connect");
+    const exit = exitOf(child);
+    child.kill("SIGTERM");
+    await sleep(systemTimer, noticeMs + 300);
+    socket.write("GET /v1/models HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer key\r\n\r\n");
+    const answer = (await text(socket)).toLowerCase();
+    assert.match(answer, /^http\/1.1 503 .*connection: close.*"code":"notready"/s);
+    assert.ok((await Promise.all(calls)).every(({ whole }) => whole));
+    assert.is(await exit, 0);
+});
+
 test.run();
