Heed what an upstream says of itself: that it leaves, or that it wants a pause

Cause: Server-Leaving and Retry-After of upstreams were passed on and not read. Placement leaves out those that leave or pause, for first attempts, repeats and resumed streams alike.

--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -135,6 +135,7 @@
         }
         hasHead = true;
         updateLoad(head, upstream, timer.nowMs());
+        noteWord(head, upstream, timer.nowMs());
         if (proof === "notRun") {
             finish({ kind: "rejected", head });
             discardBody(answer, timer, () => closeForGood(client));
@@ -208,6 +209,15 @@
     load.noteProgress(nowMs);
 }
 
+function noteWord({ isLeaving, pauseMs }: AnswerHead, { word }: KnownUpstream, nowMs: number): void {
+    if (isLeaving) {
+        word.noteLeaving();
+    }
+    if (pauseMs !== undefined) {
+        word.notePause(pauseMs, nowMs);
+    }
+}
+
 type AnswerHandlers = {
     readonly finish: (end: AttemptEnd) => void;
     readonly fail: (reason: string) => void;
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -20,8 +20,8 @@
 import { type AttemptRun, runAttempt } from "./attemptRun";
 import { type ExchangeDependencies } from "./exchangeDependencies";
 import { type BufferedAnswer } from "./framedResponse";
-import { isTooLate, retryAfterMs } from "./loadShedding";
-import { choosePlacement, type Placement } from "./placement";
+import { isTooLate, retryAfterMs, spreadRetryMs } from "./loadShedding";
+import { choosePlacement, pauseLeftMs, type Placement } from "./placement";
 import { type Refusal, refusals, refuse } from "./refusals";
 import { type AttemptResult, type Relay, relays } from "./relays";
 
@@ -129,14 +129,14 @@
      * Ends without success: with an upstream's error response if there is one, else with a refusal that fits the
      * attempts.
      */
-    private endWithoutSuccess(refusalIfUnsent: Refusal): void {
+    private endWithoutSuccess(refusalIfUnsent: Refusal, retryDelayMs?: number): void {
         const { errorAnswer, admitted, sends } = this;
         if (errorAnswer !== undefined && admitted.answer.sendWhole(errorAnswer)) {
             this.finish("answered", "upstreamFailed", errorAnswer.status);
             return;
         }
         const refusedAs = sends.last === undefined ? refusalIfUnsent : "notRun";
-        this.refuseWith(endingOfAttempts(sends) === "unknown" ? "unknownOutcome" : refusedAs);
+        this.refuseWith(endingOfAttempts(sends) === "unknown" ? "unknownOutcome" : refusedAs, retryDelayMs);
     }
 
     /** Ends a request whose time, or whose process's time, is over: `refusal` says so where it may have run. */
@@ -167,7 +167,11 @@
         }
         const placement = choosePlacement(admitted, this.triedUpstreams, dependencies);
         if (placement === undefined) {
-            this.endWithoutSuccess("noUpstream");
+            const pauseMs = pauseLeftMs(admitted, dependencies);
+            this.endWithoutSuccess(
+                pauseMs === undefined ? "noUpstream" : "paused",
+                pauseMs === undefined ? undefined : spreadRetryMs(pauseMs, dependencies),
+            );
             return;
         }
         const hasBegun = sends.mayHaveRun > 0 || relay.lastEventId() !== undefined;
--- a/packages/gateway/src/exchange/loadShedding.ts
+++ b/packages/gateway/src/exchange/loadShedding.ts
@@ -38,3 +38,8 @@
     const leftMs = Math.max(0, endByMs - timer.nowMs());
     return leftMs * retryDelayShare * (1 - retryJitter * random());
 }
+
+/** Spreads the return of callers who are to come back in `delayMs` or later. */
+export function spreadRetryMs(delayMs: number, { context: { random } }: ExchangeDependencies): number {
+    return delayMs * (1 + retryJitter * random());
+}
--- a/packages/gateway/src/exchange/placement.ts
+++ b/packages/gateway/src/exchange/placement.ts
@@ -28,7 +28,8 @@
 ): Placement | undefined {
     const { registry, context: { timer, settings, random } } = dependencies;
     const nowMs = timer.nowMs();
-    const known = candidatesOf(admitted, dependencies).filter(({ record }) => !triedUpstreams.has(record.id));
+    const known = candidatesOf(admitted, dependencies)
+        .filter(({ record, word }) => !triedUpstreams.has(record.id) && word.pausedUntilMs() <= nowMs);
     const candidates = known.map(({ record, load, pool }): PlacementCandidate => ({
         id: record.id,
         slots: admitted.service.engine?.slots ?? record.slots,
@@ -64,6 +65,14 @@
         : registry.groupHeads(service.service, caller.model ?? "");
 }
 
+/** In how long the first of the upstreams that have asked for a pause wants requests again; undefined if none pauses. */
+export function pauseLeftMs(admitted: AdmittedRequest, dependencies: ExchangeDependencies): number | undefined {
+    const nowMs = dependencies.context.timer.nowMs();
+    const ends = candidatesOf(admitted, dependencies).map(({ word }) => word.pausedUntilMs() - nowMs);
+    const pausing = ends.filter(leftMs => leftMs > 0);
+    return pausing.length === 0 ? undefined : Math.min(...pausing);
+}
+
 function modelOf({ service: { engine }, caller }: AdmittedRequest): EngineModel | undefined {
     return engine?.models.find(offered => offered.model === caller.model);
 }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -111,6 +111,10 @@
     /** Whether that is because another incarnation or another group now has this address. */
     readonly isMisdirected: boolean;
     readonly load: LoadReport | undefined;
+    /** Whether the upstream says that it leaves. */
+    readonly isLeaving: boolean;
+    /** For how long it wants no request; undefined if it does not say. */
+    readonly pauseMs: number | undefined;
     /** Whether the answer has a length or chunked framing; without them, it ends with the connection. */
     readonly hasMarkedEnd: boolean;
     /** Another upstream that the answer names as the cause of its failure. */
--- a/packages/gateway/src/upstreams/upstreamRegistry.ts
+++ b/packages/gateway/src/upstreams/upstreamRegistry.ts
@@ -1,5 +1,5 @@
 /** Tracks the record, load and connections of every upstream that is known here or still has requests from here. */
-import { makeUpstreamLoad, type UpstreamLoad } from "@rattanquay/core";
+import { makeOwnWord, makeUpstreamLoad, type OwnWord, type UpstreamLoad } from "@rattanquay/core";
 import { type UpstreamRecord } from "@rattanquay/schema";
 import { type ClusterState } from "../clusterState";
 import { ConnectionPool } from "./connectionPool";
@@ -7,6 +7,7 @@
 export type KnownUpstream = {
     readonly record: UpstreamRecord;
     readonly load: UpstreamLoad;
+    readonly word: OwnWord;
     readonly pool: ConnectionPool;
 };
 
@@ -29,7 +30,13 @@
 
 export type Progress = { readonly upstream: string; readonly ageMs: number };
 
-type Entry = { record: UpstreamRecord; load: UpstreamLoad; pool: ConnectionPool; isListed: boolean };
+type Entry = {
+    record: UpstreamRecord;
+    readonly load: UpstreamLoad;
+    readonly word: OwnWord;
+    readonly pool: ConnectionPool;
+    isListed: boolean;
+};
 
 export function makeUpstreamRegistry(clusterState: ClusterState): UpstreamRegistry {
     const entries = new Map<string, Entry>();
@@ -50,7 +57,13 @@
             return;
         }
         if (entry === undefined || isNewIncarnation(entry.record, record)) {
-            entries.set(id, { record, load: makeUpstreamLoad(), pool: new ConnectionPool(), isListed: true });
+            entries.set(id, {
+                record,
+                load: makeUpstreamLoad(),
+                word: makeOwnWord(),
+                pool: new ConnectionPool(),
+                isListed: true,
+            });
             return;
         }
         const hasChangedGroup = groupOf(entry.record) !== groupOf(record);
@@ -65,7 +78,9 @@
         entries.forEach((entry, id) => removeIfUnused(id, entry));
     });
     const listed = (isWanted: (record: UpstreamRecord) => boolean): readonly KnownUpstream[] =>
-        [...entries.values()].filter(({ isListed, record }) => isListed && !record.isDraining && isWanted(record));
+        [...entries.values()].filter(({ isListed, record, word }) =>
+            isListed && !record.isDraining && !word.isLeaving() && isWanted(record)
+        );
     return {
         get: id => entries.get(id),
         plain: service => listed(record => record.service === service),
@@ -76,7 +91,8 @@
         isExpectedToServe: id => {
             const entry = entries.get(id);
             const { isDraining = true, membership } = entry?.record ?? {};
-            return entry?.isListed === true && !isDraining && (membership?.state ?? "open") === "open";
+            return entry?.isListed === true && !isDraining && !entry.word.isLeaving()
+                && (membership?.state ?? "open") === "open";
         },
         localLoads: () =>
             new Map([...entries].flatMap(([id, { load }]) => load.own() > 0 ? [[id, load.own()] as const] : [])),
