Know the store's state again within contact_ms after its connections went silent

What could happen: a process that is in touch again sent requests to a replica whose `draining` the store had accepted 2.75 s before (DRAIN), and served a revoked key (CONFIG), up to about 0.8 s too long.

Cause: a poll waited for `contactMs` and was given up after a further slack of 0.8 s, so a silent connection showed later than the time after which the bounds hold again. The retry could then take an idle connection that was silent as well.

Change: `longestWaitMs` is the one relation: wait, slack, a backoff and a read over a new connection make `contactMs`. The slack is part of the store's port, since the adapter gives the polls up. Both tables follow it; relays still poll the list each 0.5 s.

A poll of 3 s becomes one of 1.475 s: worked out, 0.34 a second more for each table and process that follows it so, that is 0.7 a second for a zone with relays.

Not mended: a replica whose entry is removed, without having been draining, stays in use for `removalGraceMs` (2 s) after the silence is noticed, since the process takes the silence for an outage of the store.

--- a/packages/gateway/src/clusterState/tableWatch.ts
+++ b/packages/gateway/src/clusterState/tableWatch.ts
@@ -29,9 +29,22 @@
     readonly returnedAtMs: () => number | undefined;
 };
 
-/** Backoff between calls while the store does not answer. */
+/** Backoff between calls while the store does not answer, before it is varied. */
 const initialBackoffMs = 150;
 const maxBackoffMs = 400;
+const minBackoffFactor = 0.5;
+const maxBackoffFactor = 1.5;
+/** For a read over a new connection, and for relays to pass on what it brings. */
+const rereadMs = 500;
+const minWaitMs = 100;
+
+/**
+ * How long a poll may wait so that the state is current again within `contactMs` after a connection went silent. Until
+ * then pass the wait, the slack after which the poll is given up, a backoff, and a read over a new connection.
+ */
+export function longestWaitMs(contactMs: number, followSlackMs: number): number {
+    return Math.max(minWaitMs, contactMs - followSlackMs - initialBackoffMs * maxBackoffFactor - rereadMs);
+}
 
 export type WatchOptions = {
     readonly table: string;
@@ -99,7 +112,8 @@
     };
     const pauseMs = (beganAtMs: number): number => {
         if (failures > 0) {
-            return Math.min(maxBackoffMs, initialBackoffMs * 2 ** (failures - 1)) * (0.5 + random());
+            const factor = minBackoffFactor + (maxBackoffFactor - minBackoffFactor) * random();
+            return Math.min(maxBackoffMs, initialBackoffMs * 2 ** (failures - 1)) * factor;
         }
         return Math.max(0, options.minPollMs() - (timer.nowMs() - beganAtMs));
     };
--- a/packages/gateway/src/clusterState/watchClusterState.ts
+++ b/packages/gateway/src/clusterState/watchClusterState.ts
@@ -4,7 +4,7 @@
 import { type RemovedRow, type StoredRow } from "../ports";
 import { makeRowFaults } from "../rowFaults";
 import { type ClusterState, makeClusterState, type Revisioned } from "./clusterState";
-import { type TableWatch, watchTable } from "./tableWatch";
+import { longestWaitMs, type TableWatch, watchTable } from "./tableWatch";
 
 export type ClusterStateWatch = {
     readonly clusterState: ClusterState;
@@ -41,6 +41,7 @@
     const { log, metrics, ports, settings, timer } = context;
     const faults = makeRowFaults(context);
     const clusterState = makeClusterState(log, metrics);
+    const maxWaitMs = longestWaitMs(settings.bounds.contactMs, ports.store.followSlackMs);
     let isRelaying = false;
     const { configuration: configSource, upstreams: upstreamSource } = ports.sources;
 
@@ -55,7 +56,7 @@
     const configuration = watchTable({
         table: configSource.table,
         minPollMs: () => 0,
-        maxWaitMs: () => settings.bounds.contactMs,
+        maxWaitMs: () => maxWaitMs,
         knownRevision: () => 0,
         reader: { onSnapshot: applyConfigurations, onChanges: ({ rows }) => applyConfigurations(rows) },
     }, context);
@@ -87,7 +88,7 @@
     const upstreams = watchTable({
         table: upstreamSource.table,
         minPollMs: () => isPlanner() ? plannerPollMs : defaultPollMs,
-        maxWaitMs: () => isRelaying ? relayWaitMs : settings.bounds.contactMs,
+        maxWaitMs: () => isRelaying ? Math.min(relayWaitMs, maxWaitMs) : maxWaitMs,
         knownRevision: clusterState.asOf,
         reader: {
             onSnapshot: (rows, asOf) => {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -54,6 +54,8 @@
     readonly read: (table: string) => Promise<StoreOutcome<readonly StoredRow[]>>;
     /** Resolves to the changes after a revision as soon as there are any, or to none after `waitMs`. */
     readonly follow: (table: string, after: number, waitMs: number) => Promise<StoreOutcome<RowChanges>>;
+    /** How long after `waitMs` a `follow` without an answer is given up. */
+    readonly followSlackMs: number;
     readonly write: (transaction: RowTransaction) => Promise<StoreOutcome<void>>;
 };
 
