Stop listening without closing the connections whose answers wait for their callers

What callers saw: LOST. In a stop, the rest of an answer that its caller had not taken yet was thrown away, logged as answered. Cause: Node's http.Server.close calls closeIdleConnections itself, which had set out to replace; its test used the tracker without a server's close. It also ends the check for overdue heads, so that half a head held a stop to its end. Change: the listening socket is closed by net.Server's close; the check goes on until the end.

--- a/packages/gateway/src/listeners/callerListener.ts
+++ b/packages/gateway/src/listeners/callerListener.ts
@@ -1,5 +1,6 @@
 /** The listener for caller requests. */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import { Server as NetServer } from "node:net";
 import { type ClusterState } from "../clusterState";
 import { errorFields } from "../errorFields";
 import { type GatewayContext } from "../gatewayContext";
@@ -72,13 +73,14 @@
             });
         },
         stopListening: () => {
-            server.close();
+            // The server's own `close` also closes connections whose answer is written but not sent.
+            NetServer.prototype.close.call(server);
             connections.closeWhenIdle();
         },
         close: () => {
             cancel();
-            server.close();
             connections.closeAll();
+            server.close();
         },
     };
 }
