End all requests of a connection when it closes, also those that wait behind another answer

What callers saw: GONE. A request sent right behind another one on a connection ran on after its caller had left, and a stop counted it as cut. Cause: Node emits no close for a response that waits behind another when their connection closes. Change: the tracker tells the responses of a connection when it closes.

--- a/packages/gateway/src/listeners/callerConnections.ts
+++ b/packages/gateway/src/listeners/callerConnections.ts
@@ -30,7 +30,7 @@
 type TrackedConnection = {
     readonly openedAtMs: number;
     requests: number;
-    running: number;
+    readonly running: Set<ServerResponse>;
     /** How many bytes had been received when the last request was complete; any beyond them begin another. */
     bytesServed: number;
 };
@@ -40,13 +40,17 @@
     const running = new Set<ServerResponse>();
     let isClosing = false;
     const add = (socket: Socket): TrackedConnection => {
-        const connection = { openedAtMs: nowMs(), requests: 0, running: 0, bytesServed: 0 };
+        const connection = { openedAtMs: nowMs(), requests: 0, running: new Set<ServerResponse>(), bytesServed: 0 };
         connections.set(socket, connection);
-        socket.once("close", () => connections.delete(socket));
+        socket.once("close", () => {
+            connections.delete(socket);
+            // Node does not close responses that wait behind another one on the connection.
+            connection.running.forEach(response => response.emit("close"));
+        });
         return connection;
     };
     const closeIfIdle = (socket: Socket, connection: TrackedConnection): void => {
-        if (isClosing && connection.running === 0 && socket.bytesRead === connection.bytesServed) {
+        if (isClosing && connection.running.size === 0 && socket.bytesRead === connection.bytesServed) {
             socket.destroy();
         }
     };
@@ -56,10 +60,10 @@
             const { socket } = request;
             const connection = connections.get(socket) ?? add(socket);
             connection.requests++;
-            connection.running++;
+            connection.running.add(response);
             running.add(response);
             response.once("close", () => {
-                connection.running--;
+                connection.running.delete(response);
                 running.delete(response);
                 if (request.complete) {
                     connection.bytesServed = socket.bytesRead;
@@ -76,7 +80,7 @@
         },
         closeAll: () => {
             connections.forEach((connection, socket) => {
-                if (connection.running > 0) {
+                if (connection.running.size > 0) {
                     socket.resetAndDestroy();
                     return;
                 }
