Ask only once whether a stopping process has time for a request

Cause: the remaining life was asked for before each attempt. Change: it is asked for before the first one; what is taken in is gone on with. No test of its own shows the declined request.

--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -179,7 +179,7 @@
             this.endWithoutSuccess("overloaded");
             return;
         }
-        if (sends.mayHaveRun === 0 && !this.hasTimeInThisProcess(placement)) {
+        if (sends.last === undefined && !this.hasTimeInThisProcess(placement)) {
             this.refuseWith("stopping", 0);
             return;
         }
