Search each byte of a stream once, in however many parts an event arrives

What callers saw: while an upstream sent a stream in chunks of one byte without an end of an event, a process stood still for 28 to 30 s. Cause: the event splitter appended each part to a string and searched it with a regular expression, which copies the string together each time: for an event of n bytes in n parts, n squared bytes are copied. 200,000 bytes took 12,090 ms in one run. Change: an incomplete event stays in parts, and only what is new is searched, with the last three characters before it. The parts are joined beyond 1,024 of them, so that their number takes no memory either. Evidence: eventSplitter.test.ts.

--- a/packages/core/src/serving/eventSplitter.ts
+++ b/packages/core/src/serving/eventSplitter.ts
@@ -14,35 +14,68 @@
 
 /** Far more than an event of generated text needs; bounds the memory for bytes that never end an event. */
 const maxEventBytes = 262_144;
-/** The longest sequence that ends an event. Bytes before it are not searched again. */
+/** The longest sequence that ends an event. */
 const longestEventEnd = 4;
+/** Parts are joined beyond this number, so that an event in many small parts takes little more memory than its bytes. */
+const maxParts = 1_024;
 
 const eventEnd = /\r\n\r\n|\n\n|\r\r/g;
 const idLine = /^id: ?(\d+)[ \t]*$/m;
 
+/** Searches each byte once, in however many parts an event arrives. */
 export function makeEventSplitter(): EventSplitter {
-    let buffered = "";
-    let searchedTo = 0;
-    const nextEnd = (): number | undefined => {
-        eventEnd.lastIndex = Math.max(0, searchedTo - longestEventEnd + 1);
-        const found = eventEnd.exec(buffered);
-        return found === null ? undefined : found.index + found[0].length;
+    /** The incomplete event, in the order of arrival. */
+    let parts: string[] = [];
+    let length = 0;
+    /** The last characters of the incomplete event, in which the sequence that ends it may have begun. */
+    let tail = "";
+    const keep = (text: string): void => {
+        parts.push(text);
+        length += text.length;
+        tail = (tail + text).slice(1 - longestEventEnd);
+        if (parts.length > maxParts) {
+            parts = [parts.join("")];
+        }
+    };
+    const clear = (): void => {
+        parts = [];
+        length = 0;
+        tail = "";
     };
     return {
         push: text => {
-            buffered += text;
+            const firstEnd = findEnd(tail + text, 0);
+            if (firstEnd === undefined) {
+                keep(text);
+                return [];
+            }
+            const buffered = parts.join("") + text;
             const events: RawEvent[] = [];
-            for (let end = nextEnd(); end !== undefined; end = nextEnd()) {
-                const bytes = buffered.slice(0, end);
-                buffered = buffered.slice(end);
-                searchedTo = 0;
-                const id = idLine.exec(bytes)?.[1];
-                events.push({ bytes, id: id === undefined ? undefined : Number(id) });
+            let start = 0;
+            let end: number | undefined = length - tail.length + firstEnd;
+            for (; end !== undefined; end = findEnd(buffered, start)) {
+                events.push(toEvent(buffered.slice(start, end)));
+                start = end;
+            }
+            clear();
+            if (start < buffered.length) {
+                keep(buffered.slice(start));
             }
-            searchedTo = buffered.length;
             return events;
         },
-        hasPartialEvent: () => buffered.length > 0,
-        isTooLarge: () => buffered.length > maxEventBytes,
+        hasPartialEvent: () => length > 0,
+        isTooLarge: () => length > maxEventBytes,
     };
 }
+
+/** Returns the position after the first event that ends behind `from`. */
+function findEnd(text: string, from: number): number | undefined {
+    eventEnd.lastIndex = from;
+    const found = eventEnd.exec(text);
+    return found === null ? undefined : found.index + found[0].length;
+}
+
+function toEvent(bytes: string): RawEvent {
+    const id = idLine.exec(bytes)?.[1];
+    return { bytes, id: id === undefined ? undefined : Number(id) };
+}
