Keep an answer in one block of memory, however small its parts are

What callers saw: LOST. Upstreams that sent a body or an error in chunks of one byte, or in short comments, without end, filled the heap of the process (SIGABRT, "Reached heap limit"); all callers' requests on it ended with it. Cause: each part of an answer was kept as an object of its own until 262,144 bytes were there, and each was written to the caller by itself when the answer was passed on: for parts of one byte 262,144 objects and as many writes for each request. The bound on bytes did not bound memory. Change: what has arrived together is read in one part (the `readable` event, with its own back-pressure, in place of `data`), and what is kept until an answer is whole lies in one block that grows (byteCollector). Bodies of callers are kept so, too. Remains: parts of one byte cost processor time in the parser: beside 24 such callers, sound calls take up to 1.7 s; none is lost.

--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -64,7 +64,7 @@
     let ended = false;
     let abortReason: string | undefined;
     let hasHead = false;
-    let pausedAnswer: IncomingMessage | undefined;
+    let readOn: (() => void) | undefined;
     const client = openRequest(options);
     load.start();
     const finish = (end: AttemptEnd): void => {
@@ -141,11 +141,7 @@
             discardBody(answer, timer, () => closeForGood(client));
             return;
         }
-        const pause = (): void => {
-            answer.pause();
-            pausedAnswer = answer;
-        };
-        readAnswer(answer, head, events, { finish, fail, pause, load: upstream.load, timer });
+        readOn = readAnswer(answer, head, events, { finish, fail, hasEnded: () => ended, load, timer });
     });
     client.on("close", () => {
         if (!hasHead) {
@@ -153,11 +149,7 @@
         }
     });
     client.end(options.body);
-    const resume = (): void => {
-        pausedAnswer?.resume();
-        pausedAnswer = undefined;
-    };
-    return { startedAtMs: timer.nowMs(), abort, resume };
+    return { startedAtMs: timer.nowMs(), abort, resume: () => readOn?.() };
 }
 
 function openRequest(
@@ -221,24 +213,34 @@
 type AnswerHandlers = {
     readonly finish: (end: AttemptEnd) => void;
     readonly fail: (reason: string) => void;
-    readonly pause: () => void;
+    readonly hasEnded: () => boolean;
     readonly load: KnownUpstream["load"];
     readonly timer: Timer;
 };
 
+/**
+ * Reads what has arrived in one part, however small the chunks in which the upstream sent it. Returns a function that continues
+ * after a pause.
+ */
 function readAnswer(
     answer: IncomingMessage,
     head: AnswerHead,
     events: AttemptEvents,
-    { finish, fail, pause, load, timer }: AnswerHandlers,
-): void {
+    { finish, fail, hasEnded, load, timer }: AnswerHandlers,
+): () => void {
+    let isPaused = false;
     events.onHead(head);
-    answer.on("data", (bytes: Buffer) => {
-        load.noteProgress(timer.nowMs());
-        if (!events.onBytes(bytes)) {
-            pause();
+    const read = (): void => {
+        while (!isPaused && !hasEnded()) {
+            const bytes = answer.read() as Buffer | null;
+            if (bytes === null) {
+                return;
+            }
+            load.noteProgress(timer.nowMs());
+            isPaused = !events.onBytes(bytes);
         }
-    });
+    };
+    answer.on("readable", read);
     const isReset = head.hasMarkedEnd ? Promise.resolve(false) : detectReset(answer.socket);
     answer.on("end", () => {
         if (!answer.complete) {
@@ -257,4 +259,8 @@
             fail("the answer broke off");
         }
     });
+    return () => {
+        isPaused = false;
+        read();
+    };
 }
--- a/packages/gateway/src/exchange/body.ts
+++ b/packages/gateway/src/exchange/body.ts
@@ -1,6 +1,7 @@
 /** Reads a request body, limited in size and time. */
 import { type Timer } from "@rattanquay/timer";
 import { type IncomingMessage } from "node:http";
+import { makeByteCollector } from "../byteCollector";
 
 export type Body =
     | { readonly kind: "read"; readonly bytes: Buffer }
@@ -11,25 +12,20 @@
 
 export function readBody(request: IncomingMessage, maxBytes: number, limitMs: number, timer: Timer): Promise<Body> {
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let size = 0;
-        const finish = (body: Body): void => {
+        const body = makeByteCollector();
+        const finish = (end: Body): void => {
             cancel();
-            resolve(body);
+            resolve(end);
         };
         const cancel = timer.after(limitMs, () => finish({ kind: "late" }));
         request.on("data", (chunk: Buffer) => {
-            size += chunk.length;
-            if (size > maxBytes) {
+            if (body.size() + chunk.length > maxBytes) {
                 finish({ kind: "tooLarge" });
                 return;
             }
-            chunks.push(chunk);
+            body.push(chunk);
         });
-        request.on(
-            "end",
-            () => finish({ kind: "read", bytes: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks) }),
-        );
+        request.on("end", () => finish({ kind: "read", bytes: body.take() }));
         request.on("error", () => finish({ kind: "gone" }));
         request.on("close", () => finish({ kind: "gone" }));
     });
--- a/packages/gateway/src/exchange/relays.ts
+++ b/packages/gateway/src/exchange/relays.ts
@@ -7,6 +7,7 @@
  */
 import { type AttemptFailure, makeEventSplitter } from "@rattanquay/core";
 import { type RequestKind } from "@rattanquay/schema";
+import { makeByteCollector } from "../byteCollector";
 import { type AnswerHead } from "../ports";
 import { type AdmittedRequest } from "./admittedRequest";
 import { type AttemptEnd } from "./attempt";
@@ -71,8 +72,8 @@
 function makeBufferedReader(writer: AnswerWriter): AttemptReader {
     let head: AnswerHead | undefined;
     let body: BodyWriter | undefined;
-    const chunks: Buffer[] = [];
-    let size = 0;
+    let hasBytes = false;
+    const buffered = makeByteCollector();
     return {
         onHead: received => {
             head = received;
@@ -82,14 +83,16 @@
             if (body !== undefined) {
                 return body.write(bytes) ? undefined : reasons.unfit;
             }
-            size += bytes.length;
-            chunks.push(bytes);
-            if (size <= maxBufferedBytes) {
+            hasBytes ||= bytes.length > 0;
+            buffered.push(bytes);
+            if (buffered.size() <= maxBufferedBytes) {
                 return undefined;
             }
             body = writer.beginBody(head!);
-            const written = chunks.splice(0).every(chunk => body?.write(chunk));
-            return body === undefined ? reasons.hasBegun : written ? undefined : reasons.unfit;
+            if (body === undefined) {
+                return reasons.hasBegun;
+            }
+            return body.write(buffered.take()) ? undefined : reasons.unfit;
         },
         onEnd: end => {
             if (end.kind !== "whole") {
@@ -99,13 +102,13 @@
             if (body !== undefined) {
                 return body.end() ? { kind: "answered", status } : unfitAnswer;
             }
-            const answer = { status, headers, body: Buffer.concat(chunks), hasMarkedEnd };
+            const answer = { status, headers, body: buffered.take(), hasMarkedEnd };
             if (!isSuccess(status)) {
                 return { kind: "failed", answer };
             }
             return writer.sendWhole(answer) ? { kind: "answered", status } : unfitAnswer;
         },
-        hasOutput: () => size > 0 && head !== undefined && isSuccess(head.status),
+        hasOutput: () => hasBytes && head !== undefined && isSuccess(head.status),
         isPassedOn: () => body !== undefined,
     };
 }
