Give an answer up whose head has not begun after more bytes than a head may have

What callers saw: an upstream that sent interim answers or empty lines without end held a call that may not be repeated until its deadline (504), took most of the process's time meanwhile, and a safe call could not go elsewhere before it counted as stalled. Cause: Node bounds the size of a head, but each interim answer is a head of its own, and empty lines before one are none. Change: limitHeadBytes counts what arrives on the connection before the head of the answer; beyond 65,536 bytes the attempt ends as one whose answer can't be read: 502 for what may have run, another upstream for a safe call, its connection reset, `answerUnreadable` in the log. The bytes of the read that completes a head don't count, as a body may follow in them.

--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -3,6 +3,7 @@
 import { type Timer } from "@rattanquay/timer";
 import { type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
 import { type Socket } from "node:net";
+import { limitHeadBytes } from "../limitHeadBytes";
 import { type AnswerHead, type RawHeaders, type RequestCodec } from "../ports";
 import { type KnownUpstream } from "../upstreams";
 import { discardBody } from "./discardBody";
@@ -106,6 +107,10 @@
         earlierRequests = pool.countRequest(socket);
         whenConnected(socket, () => mayHaveBeenSent = true);
     });
+    limitHeadBytes(client, () => {
+        events.onUnreadable("no head within its largest size");
+        abort("the answer can't be read");
+    });
     client.on("error", error => {
         const { code = error.message } = error as NodeJS.ErrnoException;
         if (!ended && code.startsWith(parseErrorPrefix)) {
@@ -114,6 +119,9 @@
         fail(code);
     });
     client.on("response", answer => {
+        if (ended) {
+            return;
+        }
         const reading = options.wire.readHead(answer, options.method);
         if (reading.kind === "unreadable") {
             events.onUnreadable(reading.fault);
