--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,8 +1,10 @@
 /** The gateway: serves requests and plans engine groups on an external platform, which it uses through ports. */
+export { type ByteCollector, makeByteCollector } from "./byteCollector";
 export { type ClusterState, makeClusterState, type RemovedId, type Revisioned } from "./clusterState";
 export { errorFields } from "./errorFields";
 export { detectReset } from "./exchange";
 export { type Gateway, type GatewayOptions, startGateway } from "./gateway";
+export { limitHeadBytes } from "./limitHeadBytes";
 export { type GatewayMetrics, makeGatewayMetrics } from "./metrics";
 export { parseRow } from "./parseRow";
 export * from "./ports";
