--- a/packages/core/src/serving/ownWord.ts
+++ b/packages/core/src/serving/announcedState.ts
@@ -1,21 +1,21 @@
 /**
- * What one life of an upstream has said of itself in its answers. It binds at once, whatever the store or peers say, and
- * ends with that life.
+ * The state that an upstream announces in its own answers: that it is leaving, or that it wants no requests for a while. It
+ * takes effect at once, before and regardless of its entry in the store, and is dropped when the upstream restarts.
  */
 
-export type OwnWord = {
+export type AnnouncedState = {
     readonly noteLeaving: () => void;
-    /** Records that it wants no request for so long. */
+    /** Records that the upstream asks for no requests for `durationMs`; at most 30 s are granted. */
     readonly notePause: (durationMs: number, nowMs: number) => void;
     readonly isLeaving: () => boolean;
-    /** When its pause ends, on the local clock; in the past if it has asked for none. */
+    /** When the pause ends, on the local clock; `-Infinity` if the upstream has asked for none. */
     readonly pausedUntilMs: () => number;
 };
 
-/** An upstream that asks for more is asked again after this time: it may be wrong for as long as it lives. */
+/** Limit on a requested pause: a faulty upstream may ask for any length. */
 const maxPauseMs = 30_000;
 
-export function makeOwnWord(): OwnWord {
+export function makeAnnouncedState(): AnnouncedState {
     let isLeaving = false;
     let pausedUntilMs = -Infinity;
     return {
--- a/packages/core/src/serving/eventSequence.ts
+++ b/packages/core/src/serving/eventSequence.ts
@@ -2,7 +2,7 @@
  * Keeps the events of one response in sequence when the response is assembled from several runs.
  *
  * Ids increase and may leave numbers out, so they don't show whether an event is missing within a run. A run that
- * continues another begins after the last id that was passed on, so what isn't above it is a repeat.
+ * continues another one starts after the last id that was forwarded: an event with that id or a lower one is a duplicate.
  */
 
 export type EventDecision =
--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -8,7 +8,7 @@
 } from "./answerProof";
 export { type EventDecision, type EventSequence, makeEventSequence } from "./eventSequence";
 export { type EventSplitter, makeEventSplitter, type RawEvent } from "./eventSplitter";
-export { makeOwnWord, type OwnWord } from "./ownWord";
+export { makeAnnouncedState, type AnnouncedState } from "./announcedState";
 export * from "./placement";
 export {
     initialPlanningLease,
--- a/packages/core/src/serving/remainingLife.ts
+++ b/packages/core/src/serving/remainingLife.ts
@@ -1,16 +1,16 @@
-/** Decides whether a process that stops may take a request in: only if it can finish it. All times are on the local clock. */
+/** Decides whether a stopping process accepts a request: only if it can finish it. All times are on the local clock. */
 
 export type RemainingLife = {
-    /** Until then the load balancer may still send new callers here. */
+    /** Until then the load balancer may still send new connections here. */
     readonly noticeEndsAtMs: number;
-    /** What still runs then is given up. */
+    /** Requests that still run then are aborted. */
     readonly endsAtMs: number;
 };
 
 export type RequestSpan = {
     /** When the request ends at the latest, with an answer or without one. */
     readonly endByMs: number;
-    /** When its answer is expected to be complete, if that can be told. */
+    /** When its answer is expected to be complete. Undefined without a prediction. */
     readonly expectedEndMs: number | undefined;
 };
 
--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -143,7 +143,7 @@
         }
         hasHead = true;
         updateLoad(head, upstream, timer.nowMs());
-        noteWord(head, upstream, timer.nowMs());
+        recordAnnouncements(head, upstream, timer.nowMs());
         if (proof === "notRun") {
             finish({ kind: "rejected", head });
             discardBody(answer, timer, () => closeForGood(client));
@@ -209,12 +209,12 @@
     load.noteProgress(nowMs);
 }
 
-function noteWord({ isLeaving, pauseMs }: AnswerHead, { word }: KnownUpstream, nowMs: number): void {
+function recordAnnouncements({ isLeaving, pauseMs }: AnswerHead, { announced }: KnownUpstream, nowMs: number): void {
     if (isLeaving) {
-        word.noteLeaving();
+        announced.noteLeaving();
     }
     if (pauseMs !== undefined) {
-        word.notePause(pauseMs, nowMs);
+        announced.notePause(pauseMs, nowMs);
     }
 }
 
--- a/packages/gateway/src/exchange/callerAnswer.ts
+++ b/packages/gateway/src/exchange/callerAnswer.ts
@@ -50,7 +50,7 @@
     readonly closeConnectionAfter: () => void;
     /** Resets the connection, so that the caller cannot mistake a partial response for a complete one. */
     readonly reset: () => void;
-    /** Lets nobody write any more, and leaves the connection as it is. */
+    /** Rejects further writes, and leaves the connection as it is. */
     readonly release: () => void;
 };
 
--- a/packages/gateway/src/exchange/discardBody.ts
+++ b/packages/gateway/src/exchange/discardBody.ts
@@ -1,4 +1,4 @@
-/** Reads the rest of an answer whose body nobody needs, so that its connection can be used again. */
+/** Reads and drops the rest of an unneeded answer, so that its connection can be used again. */
 import { type Timer } from "@rattanquay/timer";
 import { type IncomingMessage } from "node:http";
 
--- a/packages/gateway/src/exchange/placement.ts
+++ b/packages/gateway/src/exchange/placement.ts
@@ -29,7 +29,7 @@
     const { registry, context: { timer, settings, random } } = dependencies;
     const nowMs = timer.nowMs();
     const known = candidatesOf(admitted, dependencies)
-        .filter(({ record, word }) => !triedUpstreams.has(record.id) && word.pausedUntilMs() <= nowMs);
+        .filter(({ record, announced }) => !triedUpstreams.has(record.id) && announced.pausedUntilMs() <= nowMs);
     const candidates = known.map(({ record, load, pool }): PlacementCandidate => ({
         id: record.id,
         slots: admitted.service.engine?.slots ?? record.slots,
@@ -68,7 +68,7 @@
 /** In how long the first of the upstreams that have asked for a pause wants requests again; undefined if none pauses. */
 export function pauseLeftMs(admitted: AdmittedRequest, dependencies: ExchangeDependencies): number | undefined {
     const nowMs = dependencies.context.timer.nowMs();
-    const ends = candidatesOf(admitted, dependencies).map(({ word }) => word.pausedUntilMs() - nowMs);
+    const ends = candidatesOf(admitted, dependencies).map(({ announced }) => announced.pausedUntilMs() - nowMs);
     const pausing = ends.filter(leftMs => leftMs > 0);
     return pausing.length === 0 ? undefined : Math.min(...pausing);
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -38,8 +38,8 @@
 /** Reserved before the end of the grace period, so that a process short of CPU time still stops by itself. */
 const graceMarginMs = 700;
 const stopCheckMs = 50;
-/** For sending what callers are told of requests that are given up. */
-const lastWordsMs = 200;
+/** Time to send the error responses of requests that are aborted at the end of a stop. */
+const abortNoticeMs = 200;
 /** Minimum number of gateway instances that are assumed to share the retry budget. */
 const minInstances = 8;
 
@@ -140,7 +140,7 @@
     await waitUntilClosed(callerListener, timer, endsAtMs);
     const cut = callerListener.inFlight();
     lifetime.giveUp();
-    await waitUntilClosed(callerListener, timer, endsAtMs + lastWordsMs);
+    await waitUntilClosed(callerListener, timer, endsAtMs + abortNoticeMs);
     return cut;
 }
 
--- a/packages/gateway/src/lifetime.ts
+++ b/packages/gateway/src/lifetime.ts
@@ -1,4 +1,4 @@
-/** The end of a process's life: what may still be taken in while it stops, and what is given up when its time is over. */
+/** The graceful stop of a process: its deadlines, and the actions to run when requests have to be aborted. */
 import { type RemainingLife } from "@rattanquay/core";
 import { type Cancel } from "@rattanquay/timer";
 
--- a/packages/gateway/src/upstreams/upstreamRegistry.ts
+++ b/packages/gateway/src/upstreams/upstreamRegistry.ts
@@ -1,5 +1,5 @@
 /** Tracks the record, load and connections of every upstream that is known here or still has requests from here. */
-import { makeOwnWord, makeUpstreamLoad, type OwnWord, type UpstreamLoad } from "@rattanquay/core";
+import { makeAnnouncedState, makeUpstreamLoad, type AnnouncedState, type UpstreamLoad } from "@rattanquay/core";
 import { type UpstreamRecord } from "@rattanquay/schema";
 import { type ClusterState } from "../clusterState";
 import { ConnectionPool } from "./connectionPool";
@@ -7,7 +7,7 @@
 export type KnownUpstream = {
     readonly record: UpstreamRecord;
     readonly load: UpstreamLoad;
-    readonly word: OwnWord;
+    readonly announced: AnnouncedState;
     readonly pool: ConnectionPool;
 };
 
@@ -33,7 +33,7 @@
 type Entry = {
     record: UpstreamRecord;
     readonly load: UpstreamLoad;
-    readonly word: OwnWord;
+    readonly announced: AnnouncedState;
     readonly pool: ConnectionPool;
     isListed: boolean;
 };
@@ -60,7 +60,7 @@
             entries.set(id, {
                 record,
                 load: makeUpstreamLoad(),
-                word: makeOwnWord(),
+                announced: makeAnnouncedState(),
                 pool: new ConnectionPool(),
                 isListed: true,
             });
@@ -78,8 +78,8 @@
         entries.forEach((entry, id) => removeIfUnused(id, entry));
     });
     const listed = (isWanted: (record: UpstreamRecord) => boolean): readonly KnownUpstream[] =>
-        [...entries.values()].filter(({ isListed, record, word }) =>
-            isListed && !record.isDraining && !word.isLeaving() && isWanted(record)
+        [...entries.values()].filter(({ isListed, record, announced }) =>
+            isListed && !record.isDraining && !announced.isLeaving() && isWanted(record)
         );
     return {
         get: id => entries.get(id),
@@ -91,7 +91,7 @@
         isExpectedToServe: id => {
             const entry = entries.get(id);
             const { isDraining = true, membership } = entry?.record ?? {};
-            return entry?.isListed === true && !isDraining && !entry.word.isLeaving()
+            return entry?.isListed === true && !isDraining && !entry.announced.isLeaving()
                 && (membership?.state ?? "open") === "open";
         },
         localLoads: () =>
--- a/packages/schema/src/usableRecord.ts
+++ b/packages/schema/src/usableRecord.ts
@@ -2,7 +2,7 @@
  * What a record must hold to name an upstream that requests can be sent to, whoever wrote it and whoever passed it on.
  *
  * Writers other than the upstreams themselves leave entries with any content. The bounds are far above what a fleet
- * holds, so that they reject only what no upstream says of itself.
+ * holds, so that they reject only values that no upstream reports.
  */
 import { z } from "zod";
 import { GatewayInstance } from "./gatewayPeer";
