Keep what an upstream has announced while its entry is missing from the list

Callers saw nothing yet; found by reading, shown by a test. Cause: the announcement was dropped with the upstream's record. An entry that lapses while the store is away, or is left out once for bytes that can't be read, comes back for the same life, and the upstream was used again. Change: the registry keeps the announcements of removed upstreams, at most 1,000, and takes them up again unless the upstream has restarted or has another address. Evidence: upstreamRegistry.test.ts: before, 1 of 9 fails (the same one, listed again); after, 9 pass.

--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -1,4 +1,5 @@
 /** Decisions about one request (route, upstream, retries), and the lease on planning for all instances. */
+export { type AnnouncedState, makeAnnouncedState } from "./announcedState";
 export {
     type AnswerFacts,
     type AnswerProof,
@@ -8,7 +9,6 @@
 } from "./answerProof";
 export { type EventDecision, type EventSequence, makeEventSequence } from "./eventSequence";
 export { type EventSplitter, makeEventSplitter, type RawEvent } from "./eventSplitter";
-export { makeAnnouncedState, type AnnouncedState } from "./announcedState";
 export * from "./placement";
 export {
     initialPlanningLease,
--- a/packages/gateway/src/upstreams/__tests__/upstreamRegistry.test.ts
+++ b/packages/gateway/src/upstreams/__tests__/upstreamRegistry.test.ts
@@ -49,4 +49,24 @@
     });
 }
 
+const relistings: readonly { name: string; changes: Partial<UpstreamRecord>; expected: boolean }[] = [
+    { name: "the same one", changes: {}, expected: false },
+    { name: "one that has restarted", changes: { bornAtMs: 2 }, expected: true },
+    { name: "another one at a new address", changes: { address: "127.0.0.1:2" }, expected: true },
+];
+
+for (const { name, changes, expected } of relistings) {
+    test(`DRAIN: an upstream that leaves is used again once its entry lapsed and came back: ${name}`, () => {
+        const clusterState = makeClusterState(silentLog, makeGatewayMetrics());
+        const registry = makeUpstreamRegistry(clusterState);
+        clusterState.applyRecords([{ value: record({}), revision: 1 }], "store");
+        registry.get("i-1")!.announced.noteLeaving();
+        clusterState.applyRemovals([{ id: "i-1", revision: 2 }], "store");
+        assert.equal(registry.plain("drafts"), []);
+        clusterState.applyRecords([{ value: record(changes), revision: 3 }], "store");
+        assert.is(registry.plain("drafts").length === 1, expected);
+        registry.stop();
+    });
+}
+
 test.run();
--- a/packages/gateway/src/upstreams/upstreamRegistry.ts
+++ b/packages/gateway/src/upstreams/upstreamRegistry.ts
@@ -1,5 +1,5 @@
 /** Tracks the record, load and connections of every upstream that is known here or still has requests from here. */
-import { makeAnnouncedState, makeUpstreamLoad, type AnnouncedState, type UpstreamLoad } from "@rattanquay/core";
+import { type AnnouncedState, makeAnnouncedState, makeUpstreamLoad, type UpstreamLoad } from "@rattanquay/core";
 import { type UpstreamRecord } from "@rattanquay/schema";
 import { type ClusterState } from "../clusterState";
 import { ConnectionPool } from "./connectionPool";
@@ -38,14 +38,31 @@
     isListed: boolean;
 };
 
+/** More than leave or pause at the same time in a fleet. */
+const maxRemoved = 1_000;
+
 export function makeUpstreamRegistry(clusterState: ClusterState): UpstreamRegistry {
     const entries = new Map<string, Entry>();
+    /** Upstreams that were removed after an announcement: an entry can lapse and come back without a restart. Oldest first. */
+    const removed = new Map<string, Pick<Entry, "record" | "announced">>();
     const removeIfUnused = (id: string, entry: Entry): void => {
         if (!entry.isListed && entry.load.own() === 0) {
             entry.pool.destroy();
             entries.delete(id);
+            if (hasAnnounced(entry)) {
+                removed.set(id, { record: entry.record, announced: entry.announced });
+                [...removed.keys()].slice(0, -maxRemoved).forEach(oldest => removed.delete(oldest));
+            }
         }
     };
+    /** What the upstream has announced, if it was listed before and has not restarted since. */
+    const announcedBefore = (id: string, record: UpstreamRecord): AnnouncedState => {
+        const before = removed.get(id);
+        removed.delete(id);
+        return before === undefined || isNewIncarnation(before.record, record)
+            ? makeAnnouncedState()
+            : before.announced;
+    };
     const update = (id: string): void => {
         const record = clusterState.upstreams().get(id);
         const entry = entries.get(id);
@@ -60,7 +77,7 @@
             entries.set(id, {
                 record,
                 load: makeUpstreamLoad(),
-                announced: makeAnnouncedState(),
+                announced: announcedBefore(id, record),
                 pool: new ConnectionPool(),
                 isListed: true,
             });
@@ -112,6 +129,10 @@
     return a.bornAtMs !== b.bornAtMs || a.address !== b.address;
 }
 
+function hasAnnounced({ announced }: Entry): boolean {
+    return announced.isLeaving() || announced.pausedUntilMs() > -Infinity;
+}
+
 function groupOf({ membership }: UpstreamRecord): string {
     return membership === undefined ? "" : `${membership.group}/${membership.epoch}/${membership.state}`;
 }
