--- a/packages/core/src/serving/answerProof.ts
+++ b/packages/core/src/serving/answerProof.ts
@@ -40,7 +40,7 @@
     readonly refusesWithoutId: boolean;
 };
 
-/** Whether only a connection without earlier requests lets the expected answers to a request prove anything. */
+/** Whether the request needs a new connection, because an answer without an id proves nothing on a reused one. */
 export function requiresNewConnection({ requestId, isRepeatable, refusesWithoutId }: SendFacts): boolean {
     return requestId === undefined || (refusesWithoutId && !isRepeatable);
 }
--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -132,7 +132,7 @@
         const { requestId: answerId, isNotRun } = head;
         if (isNotRun && answerId === undefined) {
             pool.noteRefusalWithoutId();
-            // Even where it proves nothing about this request, its upstream has sent it and may be full.
+            // A sign of overload even if the refusal belongs to another request.
             load.noteUnreachable(timer.nowMs());
         }
         const proof = proofOfAnswer({ requestId, answerId, isNotRun, earlierRequests });
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -139,7 +139,7 @@
         this.refuseWith(endingOfAttempts(sends) === "unknown" ? "unknownOutcome" : refusedAs, retryDelayMs);
     }
 
-    /** Ends a request whose time, or whose process's time, is over: `refusal` says so where it may have run. */
+    /** Ends a request at its deadline or at the end of a graceful stop. `refusal` is sent if an upstream may have run it. */
     private endWithoutAnswer(refusal: "outOfTime" | "processStopped"): void {
         if (this.errorAnswer !== undefined && !this.admitted.answer.hasBegun()) {
             this.endWithoutSuccess(refusal);
--- a/packages/gateway/src/exchange/framedResponse.ts
+++ b/packages/gateway/src/exchange/framedResponse.ts
@@ -13,7 +13,7 @@
 
 export type FramedResponse = {
     readonly begin: (head: Head) => void;
-    /** Whether so many more bytes stay within the declared length. */
+    /** Whether `bytes` more stay within the declared length. */
     readonly fits: (bytes: number) => boolean;
     readonly write: (bytes: Buffer | string) => void;
     /** Whether fewer bytes were written than declared. */
--- a/packages/gateway/src/exchange/loadShedding.ts
+++ b/packages/gateway/src/exchange/loadShedding.ts
@@ -39,7 +39,7 @@
     return leftMs * retryDelayShare * (1 - retryJitter * random());
 }
 
-/** Spreads the return of callers who are to come back in `delayMs` or later. */
+/** Adds jitter to a Retry-After of `delayMs`, so that callers do not return at the same moment. */
 export function spreadRetryMs(delayMs: number, { context: { random } }: ExchangeDependencies): number {
     return delayMs * (1 + retryJitter * random());
 }
--- a/packages/gateway/src/exchange/placement.ts
+++ b/packages/gateway/src/exchange/placement.ts
@@ -65,7 +65,7 @@
         : registry.groupHeads(service.service, caller.model ?? "");
 }
 
-/** In how long the first of the upstreams that have asked for a pause wants requests again; undefined if none pauses. */
+/** Time until the first pause that an upstream has asked for ends; undefined if no upstream pauses. */
 export function pauseLeftMs(admitted: AdmittedRequest, dependencies: ExchangeDependencies): number | undefined {
     const nowMs = dependencies.context.timer.nowMs();
     const ends = candidatesOf(admitted, dependencies).map(({ announced }) => announced.pausedUntilMs() - nowMs);
--- a/packages/gateway/src/exchange/unreadableAnswers.ts
+++ b/packages/gateway/src/exchange/unreadableAnswers.ts
@@ -7,7 +7,7 @@
 
 /** Least time between two lines about one upstream. */
 const logEveryMs = 1_000;
-/** How many upstreams are kept apart; beyond them the counts start anew. */
+/** Maximum number of upstreams that are tracked; beyond it all counts are reset. */
 const maxUpstreams = 2_000;
 const maxFaultLength = 120;
 
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -87,7 +87,7 @@
     };
 }
 
-/** What others sent that could not be used, and what went wrong here. */
+/** Unusable input from other parties, and internal errors. */
 function faultMetrics(registers: Registry[]) {
     return {
         unreadableAnswers: new Counter({
--- a/packages/gateway/src/peers/stateAnswers.ts
+++ b/packages/gateway/src/peers/stateAnswers.ts
@@ -3,7 +3,7 @@
 import { type ClusterState } from "../clusterState";
 import { type RowFaults } from "../rowFaults";
 
-/** Stands for the table in reports of records that came from peers. */
+/** Used as the table's name in reports of records that came from peers. */
 const peerRecords = "records of peers";
 
 type StateRequest = Extract<GatewayRequest, { kind: "clusterState" }>;
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -113,9 +113,9 @@
     /** Whether that is because another incarnation or another group now has this address. */
     readonly isMisdirected: boolean;
     readonly load: LoadReport | undefined;
-    /** Whether the upstream says that it leaves. */
+    /** Whether the upstream announces that it is leaving. */
     readonly isLeaving: boolean;
-    /** For how long it wants no request; undefined if it does not say. */
+    /** The pause that the upstream asks for; undefined if it asks for none. */
     readonly pauseMs: number | undefined;
     /** Whether the answer has a length or chunked framing; without them, it ends with the connection. */
     readonly hasMarkedEnd: boolean;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -20,7 +20,7 @@
     /** Addresses of some peers; they may be stale. */
     seeds: z.array(z.string()),
     bounds: z.object({
-        /** How soon after a disturbance this process must keep its bounds again; bounds the duration of long polls. */
+        /** Time after a disruption within which the process must meet its bounds again; limits the duration of long polls. */
         contactMs: z.number().positive(),
         /** From SIGTERM to SIGKILL. */
         graceMs: z.number().positive(),
--- a/packages/schema/src/usableRecord.ts
+++ b/packages/schema/src/usableRecord.ts
@@ -1,5 +1,5 @@
 /**
- * What a record must hold to name an upstream that requests can be sent to, whoever wrote it and whoever passed it on.
+ * Validates records of upstreams, from the store or from a peer, before requests are sent to these upstreams.
  *
  * Writers other than the upstreams themselves leave entries with any content. The bounds are far above what a fleet
  * holds, so that they reject only values that no upstream reports.
@@ -28,7 +28,7 @@
 /** IPv4 address and port. */
 export const HostAndPort = z.string().refine(isHostAndPort, "expected an IPv4 address and a port from 1 to 65535");
 
-/** What an upstream may say of its group, in its record or in a report. */
+/** Group membership as an upstream reports it, in its record or in a report. */
 export const UsableMembership = GroupMembership.extend({ group: Name, epoch: Count, rank: Count.max(maxRank) });
 
 const UsableRecord = UpstreamRecord.extend({
@@ -52,7 +52,7 @@
     cores: z.number().positive().max(maxCores).optional(),
 });
 
-/** A value from outside the system that was checked: usable, or not and why. */
+/** Result of validating a value from outside the system. */
 export type Checked<T> =
     | { readonly kind: "usable"; readonly value: T }
     | { readonly kind: "unusable"; readonly reason: string };
