Give up a peer's answer by its progress, and close only links that are silent

A process that the store turned away, or that followed a relay of its zone, kept an old configuration for seconds: a request to a peer was given up after 0.5 to 0.9 s, however much of a large configuration had come, and its link was closed, which also ended what else was arriving on it.

An answer that is arriving is given up only if no byte comes for that time, or after 6 s as a whole. A link is closed at a time limit only if nothing at all has come on it meanwhile.

--- a/packages/gateway/src/peers/__tests__/evacuationsOfPeers.test.ts
+++ b/packages/gateway/src/peers/__tests__/evacuationsOfPeers.test.ts
@@ -115,6 +115,7 @@
         cores: 2,
     }));
     const links: Links = {
+        isReceiving: () => false,
         ask: (address, request) => {
             asked.push({ address, atMs: timer.nowMs() });
             assert.ok(request.kind === "clusterState");
--- a/packages/gateway/src/peers/__tests__/stateFollower.test.ts
+++ b/packages/gateway/src/peers/__tests__/stateFollower.test.ts
@@ -33,6 +33,7 @@
             requested.push(address);
             return behaviors[address]!.answers ? answer : undefined;
         },
+        isReceiving: () => false,
         tell: () => undefined,
         stop: () => undefined,
     };
--- a/packages/gateway/src/peers/frameLink.ts
+++ b/packages/gateway/src/peers/frameLink.ts
@@ -7,13 +7,22 @@
 
 export type FrameLink = {
     /** Sends a request. Resolves to undefined if no answer arrives in time. */
-    readonly ask: (ask: GatewayRequest, timeoutMs: number) => Promise<GatewayAnswer | undefined>;
+    readonly ask: (ask: GatewayRequest, limits: AnswerLimits) => Promise<GatewayAnswer | undefined>;
     /** Sends a message that is not answered, from `encodeMessage`; a message to many peers is encoded once. */
     readonly tell: (message: EncodedMessage) => void;
     readonly isOpen: () => boolean;
+    /** Whether a frame is arriving: a part of it has come, the last one within `withinMs`. */
+    readonly isReceiving: (withinMs: number) => boolean;
     readonly close: () => void;
 };
 
+export type AnswerLimits = {
+    /** Time for the answer, and without a byte of one that has begun to arrive. */
+    readonly timeoutMs: number;
+    /** Time for the whole of an answer that goes on arriving; by default it is not given more than `timeoutMs`. */
+    readonly longestMs?: number;
+};
+
 /** The complete frame of a message. */
 export type EncodedMessage = { readonly frame: Buffer };
 
@@ -37,6 +46,9 @@
     const pending = new Map<number, (answer: GatewayAnswer | undefined) => void>();
     let lastNumber = 0;
     let open = true;
+    let lastBytesAtMs = -Infinity;
+    const isReceiving = (withinMs: number): boolean =>
+        open && deframer.isInsideFrame() && timer.nowMs() - lastBytesAtMs < withinMs;
     const write = (bytes: Buffer): void => {
         if (socket.writableLength > maxUnsentBytes) {
             socket.destroy();
@@ -56,6 +68,7 @@
     };
     socket.setNoDelay(true);
     socket.on("data", (bytes: Buffer) => {
+        lastBytesAtMs = timer.nowMs();
         const deframed = deframer.push(bytes);
         if (deframed.kind === "tooLarge") {
             socket.destroy();
@@ -77,19 +90,28 @@
         pending.forEach(settle => settle(undefined));
     });
     const link: FrameLink = {
-        ask: (ask, timeoutMs) =>
+        ask: (ask, { timeoutMs, longestMs = timeoutMs }) =>
             new Promise(resolve => {
                 const number = ++lastNumber;
+                const sentAtMs = timer.nowMs();
                 const settle = (given: GatewayAnswer | undefined): void => {
                     cancel();
                     pending.delete(number);
                     resolve(given);
                 };
-                const cancel = timer.after(timeoutMs, () => {
+                const check = (): void => {
+                    const leftMs = sentAtMs + longestMs - timer.nowMs();
+                    if (leftMs > 0 && isReceiving(timeoutMs)) {
+                        cancel = timer.after(Math.min(leftMs, lastBytesAtMs + timeoutMs - timer.nowMs()), check);
+                        return;
+                    }
                     settle(undefined);
                     // A connection can stay silent for good although new ones would work.
-                    socket.destroy();
-                });
+                    if (timer.nowMs() - lastBytesAtMs >= timeoutMs) {
+                        socket.destroy();
+                    }
+                };
+                let cancel = timer.after(timeoutMs, check);
                 pending.set(number, settle);
                 send({ direction: "ask", number, ask });
             }),
@@ -99,6 +121,7 @@
             }
         },
         isOpen: () => open,
+        isReceiving,
         close: () => socket.destroy(),
     };
     return link;
--- a/packages/gateway/src/peers/instanceLinks.ts
+++ b/packages/gateway/src/peers/instanceLinks.ts
@@ -26,7 +26,7 @@
         },
         askInstance: async (name, ask, timeoutMs) => {
             const address = addressOf(name);
-            return address === undefined ? undefined : links.ask(address, ask, timeoutMs);
+            return address === undefined ? undefined : links.ask(address, ask, { timeoutMs });
         },
     };
 }
--- a/packages/gateway/src/peers/links.ts
+++ b/packages/gateway/src/peers/links.ts
@@ -2,10 +2,12 @@
 import { dial } from "@rattanquay/peer";
 import { type GatewayAnswer, type GatewayMessage, type GatewayRequest } from "@rattanquay/schema";
 import { type GatewayContext } from "../gatewayContext";
-import { encodeMessage, type FrameHandlers, type FrameLink, makeFrameLink } from "./frameLink";
+import { type AnswerLimits, encodeMessage, type FrameHandlers, type FrameLink, makeFrameLink } from "./frameLink";
 
 export type Links = {
-    readonly ask: (address: string, ask: GatewayRequest, timeoutMs: number) => Promise<GatewayAnswer | undefined>;
+    readonly ask: (address: string, ask: GatewayRequest, limits: AnswerLimits) => Promise<GatewayAnswer | undefined>;
+    /** Whether a frame from that address is arriving: a part of it has come, the last one within `withinMs`. */
+    readonly isReceiving: (address: string, withinMs: number) => boolean;
     readonly tell: (addresses: readonly string[], message: GatewayMessage) => void;
     readonly stop: () => void;
 };
@@ -22,7 +24,8 @@
         return link;
     };
     return {
-        ask: (address, ask, timeoutMs) => linkTo(address).ask(ask, timeoutMs),
+        ask: (address, ask, limits) => linkTo(address).ask(ask, limits),
+        isReceiving: (address, withinMs) => links.get(address)?.isReceiving(withinMs) === true,
         tell: (addresses, message) => {
             const encoded = encodeMessage(message);
             addresses.forEach(address => linkTo(address).tell(encoded));
--- a/packages/gateway/src/peers/passOrder.ts
+++ b/packages/gateway/src/peers/passOrder.ts
@@ -10,7 +10,7 @@
 export type PassedOrder = { readonly result: OrderResult; readonly witnesses: number };
 
 /** Longer than the time that the peer itself waits for the engine instance. */
-const passTimeoutMs = 1_200;
+const passLimits = { timeoutMs: 1_200 };
 /** Peers in the instance's zone and in other zones that send an order: a partition rarely affects all of them. */
 const sameZoneSenders = 4;
 const otherZoneSenders = 2;
@@ -19,7 +19,7 @@
     return async (upstream: UpstreamRecord, order: EngineOrder): Promise<PassedOrder> => {
         const isSameZone = (peer: GatewayInstance): boolean => peer.availabilityZone === upstream.availabilityZone;
         const sendThrough = async (peer: GatewayInstance): Promise<OrderResult | undefined> => {
-            const answer = await links.ask(peer.address, { kind: "passOrder", upstream, order }, passTimeoutMs);
+            const answer = await links.ask(peer.address, { kind: "passOrder", upstream, order }, passLimits);
             return answer?.kind === "orderPassed" ? answer.result : undefined;
         };
         const all = directory.peers();
--- a/packages/gateway/src/peers/quarantineExchange.ts
+++ b/packages/gateway/src/peers/quarantineExchange.ts
@@ -77,7 +77,7 @@
         },
         noteSender,
         requestFrom: async address => {
-            const answer = await links.ask(address, { kind: "quarantines" }, requestTimeoutMs);
+            const answer = await links.ask(address, { kind: "quarantines" }, { timeoutMs: requestTimeoutMs });
             if (answer?.kind === "quarantines") {
                 quarantine.receive(answer.news);
             }
--- a/packages/gateway/src/peers/stateFollower.ts
+++ b/packages/gateway/src/peers/stateFollower.ts
@@ -137,7 +137,7 @@
             const address = relays[0] === undefined ? undefined : addressOf(relays[0]);
             const answer = address === undefined
                 ? undefined
-                : await links.ask(address, { kind: "instances" }, stateRequestTimeoutMs);
+                : await links.ask(address, { kind: "instances" }, { timeoutMs: stateRequestTimeoutMs });
             return answer?.kind === "instances" && answer.instances.length > 0 ? answer.instances : undefined;
         },
         isRelay: source.isRelay,
--- a/packages/gateway/src/peers/stateRequester.ts
+++ b/packages/gateway/src/peers/stateRequester.ts
@@ -8,8 +8,9 @@
 /** Resolves to whether the process answered. */
 export type StateRequester = (instance: string) => Promise<boolean>;
 
-/** Large configurations take most of this on the slowest links. */
 export const stateRequestTimeoutMs = 900;
+/** A large configuration takes seconds over the slowest links, which carry other answers at the same time. */
+export const longestStateAnswerMs = 6_000;
 
 export function makeStateRequester(
     context: GatewayContext,
@@ -22,7 +23,10 @@
         const address = addressOf(instance);
         const answer = address === undefined
             ? undefined
-            : await links.ask(address, makeStateRequest(clusterState), stateRequestTimeoutMs);
+            : await links.ask(address, makeStateRequest(clusterState), {
+                timeoutMs: stateRequestTimeoutMs,
+                longestMs: longestStateAnswerMs,
+            });
         if (answer?.kind !== "clusterState") {
             return false;
         }
--- a/packages/gateway/src/peers/stateSync.ts
+++ b/packages/gateway/src/peers/stateSync.ts
@@ -7,6 +7,7 @@
 import { type PeerDirectory } from "./peerDirectory";
 import { type QuarantineExchange } from "./quarantineExchange";
 import { applyStateAnswer, makeStateRequest } from "./stateAnswers";
+import { longestStateAnswerMs } from "./stateRequester";
 
 export type StateSyncOptions = {
     readonly context: GatewayContext;
@@ -39,7 +40,10 @@
         if (!isStateMissing() || address === undefined) {
             return;
         }
-        const answer = await links.ask(address, makeStateRequest(clusterState), askTimeoutMs);
+        const answer = await links.ask(address, makeStateRequest(clusterState), {
+            timeoutMs: askTimeoutMs,
+            longestMs: longestStateAnswerMs,
+        });
         if (answer?.kind === "clusterState") {
             applyStateAnswer(answer, clusterState, faults);
         }
--- a/packages/peer/src/frames.ts
+++ b/packages/peer/src/frames.ts
@@ -27,6 +27,11 @@
     /** `maxBytes` may be raised once the other side is authenticated. */
     constructor(public maxBytes: number) {}
 
+    /** Whether a part of a frame has come and more of it is due. */
+    isInsideFrame(): boolean {
+        return this.rest.size() > 0;
+    }
+
     push(bytes: Uint8Array): DecodedFrames {
         this.rest.push(Buffer.from(bytes));
         if (this.rest.size() < this.wantedBytes) {
