--- a/packages/gateway/src/peers/stateAnswers.ts
+++ b/packages/gateway/src/peers/stateAnswers.ts
@@ -1,7 +1,8 @@
 /** Requests for cluster state between peers: what a peer answers, and how an answer is applied. */
-import { checkRecord, type GatewayAnswer, type GatewayRequest } from "@rattanquay/schema";
+import { checkRecord, type GatewayAnswer, type GatewayRequest, type ServingConfig } from "@rattanquay/schema";
 import { type ClusterState } from "../clusterState";
 import { type RowFaults } from "../rowFaults";
+import { packConfiguration, unpackConfiguration } from "./packedConfiguration";
 
 /** Used as the table's name in reports of records that came from peers. */
 const peerRecords = "records of peers";
@@ -16,16 +17,16 @@
         configVersion: clusterState.routes()?.version ?? 0,
         asOf: clusterState.asOf(),
         newestEvacuation: clusterState.evacuations.newest(),
+        acceptsPacked: true,
     };
 }
 
 export function answerStateRequest(request: StateRequest, clusterState: ClusterState): StateAnswer {
-    const config = clusterState.configuration();
     const { evacuations } = clusterState;
     const newest = evacuations.newest();
     return {
         kind: "clusterState",
-        config: config !== undefined && config.version > request.configVersion ? config : undefined,
+        ...newerConfiguration(request, clusterState.configuration()),
         isWhole: request.asOf === 0 && clusterState.hasCompleteList(),
         records: clusterState.revisionedRecords().filter(({ revision }) => revision > request.asOf),
         removals: clusterState.removals().filter(({ revision }) => revision > request.asOf),
@@ -36,6 +37,23 @@
     };
 }
 
+function newerConfiguration(
+    { configVersion, acceptsPacked }: StateRequest,
+    config: ServingConfig | undefined,
+): Pick<StateAnswer, "config" | "packedConfig"> {
+    if (config === undefined || config.version <= configVersion) {
+        return {};
+    }
+    return acceptsPacked === true ? { packedConfig: packConfiguration(config) } : { config };
+}
+
+/** The configuration in an answer; undefined if there is none that can be used. */
+function readConfiguration({ config, packedConfig }: StateAnswer, faults: RowFaults): ServingConfig | undefined {
+    return packedConfig === undefined
+        ? config
+        : faults.take({ table: peerRecords, key: "configuration" }, unpackConfiguration(packedConfig));
+}
+
 /** A record that names no usable upstream counts as removed: a peer of another version may keep one. */
 export function applyStateAnswer(answer: StateAnswer, clusterState: ClusterState, faults: RowFaults): void {
     const records: StateAnswer["records"] = [];
@@ -53,8 +71,9 @@
     if (answer.evacuations !== undefined) {
         clusterState.evacuations.applySnapshot(answer.evacuations.zones, answer.evacuations.newest, "peer");
     }
-    if (answer.config !== undefined) {
-        clusterState.applyConfiguration(answer.config, "peer");
+    const config = readConfiguration(answer, faults);
+    if (config !== undefined) {
+        clusterState.applyConfiguration(config, "peer");
     }
     if (answer.isWhole) {
         clusterState.applySnapshot(records, answer.asOf, "peer");
--- a/packages/schema/src/gatewayPeer.ts
+++ b/packages/schema/src/gatewayPeer.ts
@@ -28,6 +28,8 @@
         asOf: z.number(),
         /** The revision up to which the sender knows all evacuations; absent if it knows none of them or is older. */
         newestEvacuation: z.number().optional(),
+        /** Whether the sender reads `packedConfig`; absent from processes of earlier builds, which do not. */
+        acceptsPacked: z.boolean().optional(),
     }),
     /** Requests the list of gateway processes. */
     z.object({ kind: z.literal("instances") }),
@@ -187,7 +189,10 @@
 export const GatewayAnswer = z.discriminatedUnion("kind", [
     z.object({
         kind: z.literal("clusterState"),
+        /** For processes of earlier builds. */
         config: ServingConfig.optional(),
+        /** The configuration as compressed JSON. */
+        packedConfig: z.custom<Uint8Array>(value => value instanceof Uint8Array).optional(),
         /** Whether `records` holds all records, not only the newer ones. */
         isWhole: z.boolean(),
         records: z.array(RevisionedRecord),
