Ask no second source while the first one's answer is arriving

With 1,680 routes more, followers asked the second relay 0.25 s after the first and read the store after 0.8 s, over the link on which the first answer was arriving: each made the others later, until all were given up. A relay whose notices waited behind its answer was taken for silent after 1 s, and processes with small links became relays in its place.

While an answer of a relay is arriving, the other relay isn't asked, a suspended watch of the store isn't resumed, and the relay isn't silent. The new case of stateFollower.test.ts failed before (both relays asked) and passes.

--- a/packages/core/src/stateSource/stateSource.ts
+++ b/packages/core/src/stateSource/stateSource.ts
@@ -27,6 +27,8 @@
     /** Returns the relays to subscribe to, the preferred one first. A relay itself subscribes to none. */
     readonly chooseRelays: (nowMs: number) => readonly string[];
     readonly noteNotice: (notice: RelayNotice, nowMs: number) => void;
+    /** Records that a relay is sending something else than a notice: it is not silent. */
+    readonly noteBytes: (instance: string, nowMs: number) => void;
     readonly noteSubscriber: (nowMs: number) => void;
     /** Whether this instance must read the store, as a relay or because no relay confirms its state. */
     readonly mustReadStore: (nowMs: number) => boolean;
@@ -95,6 +97,12 @@
                 state.currentAtMs = isCurrent && !isLeaving ? nowMs : -Infinity;
             }
         },
+        noteBytes: (instance, nowMs) => {
+            const state = states.get(instance);
+            if (state !== undefined) {
+                state.heardAtMs = nowMs;
+            }
+        },
         noteSubscriber: nowMs => {
             subscribedToAtMs = nowMs;
         },
--- a/packages/gateway/src/peers/__tests__/stateFollower.test.ts
+++ b/packages/gateway/src/peers/__tests__/stateFollower.test.ts
@@ -1,7 +1,7 @@
 /** When a process that follows relays requests state from them, and when it reads the store again, in virtual time. */
 import { type GatewayAnswer, type GatewayInstance, type GatewayRequest, type StateNotice } from "@rattanquay/schema";
 import { silentLog } from "@rattanquay/telemetry";
-import { VirtualTimer } from "@rattanquay/timer";
+import { sleep, VirtualTimer } from "@rattanquay/timer";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { type ClusterStateWatch } from "../../clusterState";
@@ -12,8 +12,11 @@
 const stepMs = 100;
 const noticeEveryMs = 400;
 
-/** Whether a relay announces a change, and whether it answers requests for the state. */
-type RelayBehavior = { readonly announces: boolean; readonly answers: boolean };
+/**
+ * Whether a relay announces a change, and whether it answers requests for the state. An answer that takes long arrives
+ * all the while, and the relay's notices wait behind it.
+ */
+type RelayBehavior = { readonly announces: boolean; readonly answers: boolean; readonly answerTakesMs?: number };
 
 /** A process "e3" that follows the relays "e1" and "e2" and already knows everything up to revision 10. */
 function makeFollower(behaviors: Readonly<Record<string, RelayBehavior>>) {
@@ -21,6 +24,8 @@
     let knownRevision = 10;
     let readsStore = true;
     const requested: string[] = [];
+    const arrivingUntilMs = new Map<string, number>();
+    const isArriving = (address: string): boolean => timer.nowMs() < (arrivingUntilMs.get(address) ?? 0);
     const peers = ["e1", "e2"].map((instance): GatewayInstance => ({
         instance,
         availabilityZone: "a",
@@ -31,9 +36,14 @@
     const links: Links = {
         ask: async (address: string, unused: GatewayRequest) => {
             requested.push(address);
-            return behaviors[address]!.answers ? answer : undefined;
+            const { answers, answerTakesMs = 0 } = behaviors[address]!;
+            if (answerTakesMs > 0) {
+                arrivingUntilMs.set(address, timer.nowMs() + answerTakesMs);
+                await sleep(timer, answerTakesMs);
+            }
+            return answers ? answer : undefined;
         },
-        isReceiving: () => false,
+        isReceiving: isArriving,
         tell: () => undefined,
         stop: () => undefined,
     };
@@ -70,7 +80,7 @@
     const run = async (ms: number, newestChange: (instance: string) => number): Promise<void> => {
         for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += stepMs) {
             if (elapsedMs % noticeEveryMs === 0) {
-                for (const { instance } of peers) {
+                for (const { instance } of peers.filter(({ address }) => !isArriving(address))) {
                     const notice: StateNotice = {
                         kind: "stateNotice",
                         instance,
@@ -120,6 +130,13 @@
         isKnown: true,
         readsStore: false,
     },
+    {
+        name: "the preferred relay's answer arrives for longer than relays may be silent",
+        relays: { e1: { ...sound, answerTakesMs: 1_300 }, e2: sound },
+        requested: ["e1"],
+        isKnown: true,
+        readsStore: false,
+    },
     {
         name: "both announce it and none answers",
         relays: { e1: { announces: true, answers: false }, e2: { announces: true, answers: false } },
--- a/packages/gateway/src/peers/stateFollower.ts
+++ b/packages/gateway/src/peers/stateFollower.ts
@@ -52,11 +52,14 @@
     let knownPeers: readonly GatewayInstance[] | undefined;
     let relays: readonly string[] = [];
     let readsStore = true;
-    /** The newest announced state that is not known here yet, and since when something has been missing. */
-    let missing: { readonly notice: StateNotice; readonly sinceMs: number } | undefined;
 
     const addressOf = (instance: string): string | undefined =>
         directory.peers().find(peer => peer.instance === instance)?.address;
+    const isArrivingFrom = (instance: string): boolean => {
+        const address = requesting.has(instance) ? addressOf(instance) : undefined;
+        return address !== undefined && links.isReceiving(address, stateRequestTimeoutMs);
+    };
+    const isStateArriving = (): boolean => relays.some(isArrivingFrom);
     const updateCandidates = (): void => {
         if (directory.peers() === knownPeers) {
             return;
@@ -78,21 +81,21 @@
     const isBehind = (notice: StateNotice): boolean =>
         notice.configVersion > (clusterState.routes()?.version ?? 0) || notice.newestChange > clusterState.asOf()
         || lacksEvacuation(notice);
-    const noteAnnounced = (notice: StateNotice): void => {
-        const wasMissing = missing !== undefined && isBehind(missing.notice);
-        missing = { notice, sinceMs: wasMissing ? missing!.sinceMs : timer.nowMs() };
-    };
-    const isLagging = (nowMs: number): boolean =>
-        missing !== undefined && isBehind(missing.notice) && nowMs - missing.sinceMs > maxLagMs;
+    const announced = makeAnnouncedLag(isBehind);
     const step = (): void => {
         const nowMs = timer.nowMs();
         updateCandidates();
+        // Notices wait behind an answer that is arriving.
+        relays.filter(isArrivingFrom).forEach(instance => source.noteBytes(instance, nowMs));
         relays = source.chooseRelays(nowMs);
         relays.forEach(subscribe);
         const isIncomplete = clusterState.routes() === undefined || !clusterState.hasCompleteList()
             || clusterState.evacuations.newest() === undefined;
-        const mustRead = source.mustReadStore(nowMs) || isIncomplete || isLagging(nowMs) || options.isPlanner();
-        if (mustRead !== readsStore) {
+        const mustRead = source.mustReadStore(nowMs) || isIncomplete || announced.isLagging(nowMs)
+            || options.isPlanner();
+        // Reading the store would bring the same over the same link, and delay both.
+        const waitsForRelay = !readsStore && isStateArriving() && !options.isPlanner();
+        if (mustRead !== readsStore && !waitsForRelay) {
             log.info("stateSource", { readsStore: mustRead, relays });
             readsStore = mustRead;
             watch.setActive(mustRead);
@@ -104,13 +107,13 @@
             return;
         }
         requesting.add(instance);
-        const announcedBefore = missing?.notice;
+        const announcedBefore = announced.newest();
         const isAnswered = await requestState(instance);
         requesting.delete(instance);
         // The relay may have sent this answer before it learned what it has announced meanwhile.
-        const announced = missing?.notice;
-        const isNewlyAnnounced = announced !== announcedBefore && announced?.instance === instance;
-        if (isAnswered && isNewlyAnnounced && lacksEvacuation(announced)) {
+        const newest = announced.newest();
+        const isNewlyAnnounced = newest !== announcedBefore && newest?.instance === instance;
+        if (isAnswered && isNewlyAnnounced && lacksEvacuation(newest)) {
             void requestFrom(instance);
         }
     };
@@ -121,13 +124,13 @@
             if (!isBehind(notice)) {
                 return;
             }
-            noteAnnounced(notice);
+            announced.note(notice, timer.nowMs());
             if (notice.instance === relays[0]) {
                 void requestFrom(notice.instance);
                 return;
             }
             timer.after(otherRelayDelayMs, () => {
-                if (isBehind(notice)) {
+                if (isBehind(notice) && !isStateArriving()) {
                     void requestFrom(notice.instance);
                 }
             });
@@ -146,3 +149,24 @@
         stop: cancelSteps,
     };
 }
+
+/** What relays have announced and this process does not know yet. */
+type AnnouncedLag = {
+    readonly note: (notice: StateNotice, nowMs: number) => void;
+    /** The newest announcement of something that was missing. */
+    readonly newest: () => StateNotice | undefined;
+    /** Whether something announced has been missing for longer than relays may take to deliver it. */
+    readonly isLagging: (nowMs: number) => boolean;
+};
+
+function makeAnnouncedLag(isBehind: (notice: StateNotice) => boolean): AnnouncedLag {
+    let missing: { readonly notice: StateNotice; readonly sinceMs: number } | undefined;
+    return {
+        note: (notice, nowMs) => {
+            const wasMissing = missing !== undefined && isBehind(missing.notice);
+            missing = { notice, sinceMs: wasMissing ? missing!.sinceMs : nowMs };
+        },
+        newest: () => missing?.notice,
+        isLagging: nowMs => missing !== undefined && isBehind(missing.notice) && nowMs - missing.sinceMs > maxLagMs,
+    };
+}
