Keep how old the configuration in force is, and when it was last confirmed

Change: `clusterState.configurationEvidence()` gives the version, its origin, since when it has been in force here, when it was last confirmed, and the newest version that was announced. An answer of the store on the configuration's watch, `confirm` included, confirms as of the time at which the question was sent, unless its revision lags behind an earlier answer's. A current relay's notice confirms as of its arrival. Nothing confirms a version that is older than an announced one. No answer to a caller changes.

Limit: a notice that waited in the socket of a paused process counts from when the process reads it, and a relay's own last answer may be older.

--- a/packages/gateway/src/clusterState/__tests__/tableWatch.test.ts
+++ b/packages/gateway/src/clusterState/__tests__/tableWatch.test.ts
@@ -1,4 +1,7 @@
-/** Guards against a watch that never follows its table again after it was asked for confirmation. */
+/**
+ * Guards against a watch that never follows its table again after it was asked for confirmation, and against one that
+ * calls its table up to date at a time for which the store has not said so.
+ */
 import { silentLog } from "@rattanquay/telemetry";
 import { VirtualTimer } from "@rattanquay/timer";
 import { test } from "uvu";
@@ -19,8 +22,8 @@
     }
 }
 
-function done<T>(value: T, storeRevision: number): StoreOutcome<T> {
-    return { kind: "done", value, stamp: { sentAtMs: 0, storeNowMs: 0, storeRevision } };
+function done<T>(value: T, storeRevision: number, sentAtMs = 0): StoreOutcome<T> {
+    return { kind: "done", value, stamp: { sentAtMs, storeNowMs: 0, storeRevision } };
 }
 
 test("history that is lost while a confirmation is under way leads to a full read", async () => {
@@ -56,4 +59,91 @@
     watch.stop();
 });
 
+/**
+ * A store whose answers are given by the test and carry the time of their question, and the times as of which the watch
+ * calls its table up to date.
+ */
+async function startWatch(readRevision: number) {
+    const timer = new VirtualTimer();
+    timer.advance(100);
+    const follows: Answer[] = [];
+    const upToDateAtMs: number[] = [];
+    let storeRevision = readRevision;
+    const store: RowStore = {
+        followSlackMs: 0,
+        read: async () => done([], storeRevision, timer.nowMs()),
+        follow: () => {
+            const sentAtMs = timer.nowMs();
+            return new Promise(resolve =>
+                follows.push(outcome =>
+                    resolve(
+                        outcome.kind === "done" ? done(outcome.value, outcome.stamp.storeRevision, sentAtMs) : outcome,
+                    )
+                )
+            );
+        },
+        write: async () => done(undefined, storeRevision),
+    };
+    const context = { timer, log: silentLog, ports: { store }, random: () => 0, onFatalError: assert.unreachable };
+    const watch = watchTable({
+        table: "op",
+        minPollMs: () => 0,
+        maxWaitMs: () => pollMs,
+        knownRevision: () => 0,
+        onUpToDate: askedAtMs => upToDateAtMs.push(askedAtMs),
+        reader: { onSnapshot: () => undefined, onChanges: () => undefined },
+    }, context as unknown as GatewayContext);
+    await settlePromises();
+    const answer = async (call: number, outcome: StoreOutcome<RowChanges>): Promise<void> => {
+        follows[call]!(outcome);
+        await settlePromises();
+    };
+    return { timer, watch, upToDateAtMs, answer, setRevision: (revision: number) => storeRevision = revision };
+}
+
+const noChanges: RowChanges = { rows: [], removed: [] };
+
+const answers: readonly {
+    name: string;
+    outcome: StoreOutcome<RowChanges>;
+    /** The revision of the store's next full read. */
+    readRevision?: number;
+    upToDateAtMs: readonly number[];
+}[] = [
+    { name: "no changes", outcome: done(noChanges, 7), upToDateAtMs: [100, 100] },
+    { name: "a later revision", outcome: done(noChanges, 9), upToDateAtMs: [100, 100] },
+    { name: "a revision that lags behind", outcome: done(noChanges, 6), upToDateAtMs: [100] },
+    { name: "no answer", outcome: { kind: "unanswered", reason: "silent" }, upToDateAtMs: [100] },
+    { name: "a refusal", outcome: { kind: "refused", reason: "status 503" }, upToDateAtMs: [100] },
+    { name: "lost history and a read", outcome: { kind: "historyLost" }, upToDateAtMs: [100, 300] },
+    {
+        name: "lost history and a read that lags behind",
+        outcome: { kind: "historyLost" },
+        readRevision: 5,
+        upToDateAtMs: [100],
+    },
+];
+
+for (const { name, outcome, readRevision = 7, upToDateAtMs } of answers) {
+    test(`CONFIG: a poll sent at 100 ms and answered at 300 ms with ${name}`, async () => {
+        const started = await startWatch(7);
+        started.setRevision(readRevision);
+        started.timer.advance(200);
+        await started.answer(0, outcome);
+        assert.equal(started.upToDateAtMs, upToDateAtMs);
+        started.watch.stop();
+    });
+}
+
+test("CONFIG: a confirmation counts from its own question, not from that of the running poll", async () => {
+    const { timer, watch, upToDateAtMs, answer } = await startWatch(7);
+    timer.advance(200);
+    const confirmed = watch.confirm();
+    timer.advance(50);
+    await answer(1, done(noChanges, 7));
+    assert.is(await confirmed, true);
+    assert.equal(upToDateAtMs, [100, 300]);
+    watch.stop();
+});
+
 test.run();
--- a/packages/gateway/src/clusterState/__tests__/watchClusterState.test.ts
+++ b/packages/gateway/src/clusterState/__tests__/watchClusterState.test.ts
@@ -1,4 +1,8 @@
-/** How soon a process reads the store again after its connections went silent without an error. */
+/**
+ * How soon a process reads the store again after its connections went silent without an error, and from when on it no
+ * longer calls its configuration confirmed.
+ */
+import { type ServingConfig } from "@rattanquay/schema";
 import { silentLog } from "@rattanquay/telemetry";
 import { VirtualTimer } from "@rattanquay/timer";
 import { test } from "uvu";
@@ -6,6 +10,7 @@
 import { type GatewayContext } from "../../gatewayContext";
 import { makeGatewayMetrics } from "../../metrics";
 import { type RecordSource, type RowStore, type StoreOutcome } from "../../ports";
+import { longestWaitMs } from "../tableWatch";
 import { watchClusterState } from "../watchClusterState";
 
 const stepMs = 5;
@@ -103,4 +108,50 @@
     });
 }
 
+test("CONFIG: a silent store no longer confirms the configuration, and its last answer counts from the question", async () => {
+    const timer = new VirtualTimer();
+    const { store, silence } = makeStore(timer, 800);
+    const source: RecordSource<never> = { table: "op", decode: () => ({ kind: "unrelated" }) };
+    const stamped: RowStore = {
+        ...store,
+        follow: async (table, after, waitMs) => {
+            const sentAtMs = timer.nowMs();
+            const outcome = await store.follow(table, after, waitMs);
+            return outcome.kind === "done" ? { ...outcome, stamp: { ...outcome.stamp, sentAtMs } } : outcome;
+        },
+    };
+    const { clusterState, stop } = watchClusterState(
+        {
+            settings: { bounds: { contactMs: 3_000 } },
+            ports: { store: stamped, sources: { configuration: source, upstreams: source } },
+            timer,
+            log: silentLog,
+            metrics: makeGatewayMetrics(),
+            random: () => 0.5,
+            onFatalError: assert.unreachable,
+        } as unknown as GatewayContext,
+        () => false,
+    );
+    const config = { version: 1, routes: [], services: [], bounds: { maxBodyBytes: 1 } } as unknown as ServingConfig;
+    clusterState.applyConfiguration(config, "peer");
+    const ages: number[] = [];
+    const advance = async (durationMs: number): Promise<void> => {
+        for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
+            timer.advance(stepMs);
+            await settlePromises();
+            ages.push(timer.nowMs() - clusterState.configurationEvidence()!.confirmedAtMs!);
+        }
+    };
+    await advance(6_000);
+    const waitMs = longestWaitMs(3_000, 800);
+    // A poll's answer is as old as its wait when it arrives, and nothing newer comes during the wait of the next one.
+    assert.ok(Math.max(...ages) <= 2 * waitMs + stepMs, `${Math.max(...ages)} ms`);
+    assert.ok(Math.max(...ages) >= waitMs, `${Math.max(...ages)} ms`);
+    silence();
+    const silentAtMs = timer.nowMs();
+    await advance(500);
+    assert.ok(clusterState.configurationEvidence()!.confirmedAtMs! <= silentAtMs);
+    stop();
+});
+
 test.run();
--- a/packages/gateway/src/clusterState/clusterState.ts
+++ b/packages/gateway/src/clusterState/clusterState.ts
@@ -8,6 +8,7 @@
 import { type ServingConfig, type UpstreamRecord } from "@rattanquay/schema";
 import { type Log } from "@rattanquay/telemetry";
 import { type GatewayMetrics } from "../metrics";
+import { type ConfigurationAge, type ConfigurationEvidence, makeConfigurationAge } from "./configurationAge";
 import { type Evacuations, makeEvacuations } from "./evacuations";
 import { type Origin } from "./origin";
 
@@ -19,6 +20,9 @@
 export type ClusterState = {
     readonly routes: () => RouteTable | undefined;
     readonly configuration: () => ServingConfig | undefined;
+    /** How new the configuration in force is known to be; undefined while there is none. */
+    readonly configurationEvidence: () => ConfigurationEvidence | undefined;
+    readonly configurationAge: ConfigurationAge;
     readonly upstreams: () => ReadonlyMap<string, UpstreamRecord>;
     /** Whether no request may be sent to the upstreams of an availability zone. */
     readonly isEvacuated: (zone: string) => boolean;
@@ -51,16 +55,18 @@
 /** Maximum number of tombstones; the oldest are dropped. */
 const maxTombstones = 2_000;
 
-/** `isListedZone` tells whether the settings name a zone. */
+/** `isListedZone` tells whether the settings name a zone, and `nowMs` dates the configuration. */
 export function makeClusterState(
     log: Log,
     metrics: GatewayMetrics,
     isListedZone: (zone: string) => boolean = () => true,
+    nowMs: () => number = () => 0,
 ): ClusterState {
     let table: RouteTable | undefined;
     let asOf = 0;
     let newestChange = 0;
     let hasCompleteList = false;
+    const configurationAge = makeConfigurationAge();
     const records = new Map<string, Revisioned<UpstreamRecord>>();
     const tombstones = new Map<string, number>();
     let currentUpstreams: ReadonlyMap<string, UpstreamRecord> = new Map();
@@ -80,12 +86,6 @@
         metrics.upstreams.set(currentUpstreams.size);
         listeners.forEach(listener => listener(ids));
     };
-    /** Logs many changes in few lines: each process of a large fleet sees every change. */
-    const logChanges = (changes: readonly UpstreamChange[], origin: Origin): void => {
-        for (let start = 0; start < changes.length; start += changesPerLine) {
-            log.info("upstreamsChanged", { origin, changes: changes.slice(start, start + changesPerLine) });
-        }
-    };
     const applyRecord = ({ value, revision }: Revisioned<UpstreamRecord>): boolean => {
         const known = records.get(value.id)?.revision ?? tombstones.get(value.id) ?? 0;
         if (revision <= known) {
@@ -108,17 +108,19 @@
     };
     const takeRecords: ClusterState["applyRecords"] = (dated, origin) => {
         const changed = dated.filter(applyRecord);
-        logChanges(changed.map(({ value, revision }) => ({ ...summary(value), revision })), origin);
+        logChanges(log, changed.map(({ value, revision }) => ({ ...summary(value), revision })), origin);
         publish(changed.map(({ value }) => value.id));
     };
     const takeRemovals: ClusterState["applyRemovals"] = (gone, origin) => {
         const changed = gone.filter(applyRemoval);
-        logChanges(changed.map(({ id, revision }) => ({ upstream: id, isGone: true, revision })), origin);
+        logChanges(log, changed.map(({ id, revision }) => ({ upstream: id, isGone: true, revision })), origin);
         publish(changed.map(({ id }) => id));
     };
     return {
         routes: () => table,
         configuration: () => table?.config,
+        configurationEvidence: configurationAge.evidence,
+        configurationAge,
         upstreams: () => currentUpstreams,
         isEvacuated: evacuations.isEvacuated,
         evacuations,
@@ -133,6 +135,7 @@
             }
             log.info("configurationInForce", { version: config.version, before: table?.version, origin });
             table = makeRouteTable(config);
+            configurationAge.noteInForce(config.version, origin, nowMs());
             metrics.configVersion.set(config.version);
             configurationListeners.forEach(listener => listener());
         },
@@ -160,6 +163,13 @@
     };
 }
 
+/** Logs many changes in few lines: each process of a large fleet sees every change. */
+function logChanges(log: Log, changes: readonly UpstreamChange[], origin: Origin): void {
+    for (let start = 0; start < changes.length; start += changesPerLine) {
+        log.info("upstreamsChanged", { origin, changes: changes.slice(start, start + changesPerLine) });
+    }
+}
+
 function dropOldest(tombstones: Map<string, number>): void {
     if (tombstones.size > maxTombstones) {
         tombstones.delete(tombstones.keys().next().value!);
--- /dev/null
+++ b/packages/gateway/src/clusterState/configurationAge.ts
@@ -0,0 +1,88 @@
+/**
+ * Keeps since when the configuration in force has been in force here, and when it was last confirmed to be the newest.
+ *
+ * A confirmation carries the time at which the question was sent, or the notice received: a newer configuration may
+ * have been written at any moment after that. Times are passed in as values, on the clock of the process.
+ */
+import { type Origin } from "./origin";
+
+/** What is known here about how new the configuration in force is. */
+export type ConfigurationEvidence = {
+    readonly version: number;
+    /** Where this process got the version from. */
+    readonly origin: Origin;
+    /** When the version came into force in this process. */
+    readonly inForceSinceMs: number;
+    /**
+     * The latest time at which no newer usable configuration existed, as far as the store or a current relay has
+     * stated. Undefined until one of them has confirmed it.
+     */
+    readonly confirmedAtMs: number | undefined;
+    /** The highest version that this process has or that a relay has announced to it. */
+    readonly newestKnownVersion: number;
+};
+
+/** The part of a relay's notice that states which configuration is the newest. */
+export type ConfigurationNotice = {
+    readonly configVersion: number;
+    /** Whether the store answered the relay's last calls. */
+    readonly isCurrent: boolean;
+    readonly isLeaving: boolean;
+};
+
+export type ConfigurationAge = {
+    /** Records that a version has come into force. */
+    readonly noteInForce: (version: number, origin: Origin, nowMs: number) => void;
+    /** Records that the store has stated all changes up to the time at which it was asked, and that they are applied. */
+    readonly noteStoreAnswer: (askedAtMs: number) => void;
+    /** Records a relay's notice. One that is not current confirms nothing, but may announce a newer version. */
+    readonly noteNotice: (notice: ConfigurationNotice, receivedAtMs: number) => void;
+    /** Returns undefined while no configuration is in force. */
+    readonly evidence: () => ConfigurationEvidence | undefined;
+};
+
+type InForce = Pick<ConfigurationEvidence, "version" | "origin" | "inForceSinceMs">;
+
+export function makeConfigurationAge(): ConfigurationAge {
+    let inForce: InForce | undefined;
+    let confirmedAtMs: number | undefined;
+    /** The newest version that a relay has announced, and when a current relay last named it as the newest. */
+    let announced = { version: 0, currentAtMs: -Infinity };
+
+    const confirm = (atMs: number): void => {
+        confirmedAtMs = Math.max(confirmedAtMs ?? -Infinity, atMs);
+    };
+    /** An older version than an announced one is not the newest, whatever an answer that lags behind seems to say. */
+    const isNewestKnown = (): boolean => inForce !== undefined && inForce.version >= announced.version;
+    return {
+        noteInForce: (version, origin, nowMs) => {
+            inForce = { version, origin, inForceSinceMs: nowMs };
+            if (isNewestKnown() && announced.currentAtMs > -Infinity) {
+                confirm(announced.currentAtMs);
+            }
+        },
+        noteStoreAnswer: askedAtMs => {
+            if (isNewestKnown()) {
+                confirm(askedAtMs);
+            }
+        },
+        noteNotice: ({ configVersion, isCurrent, isLeaving }, receivedAtMs) => {
+            const isConfirming = isCurrent && !isLeaving;
+            if (configVersion > announced.version) {
+                announced = { version: configVersion, currentAtMs: -Infinity };
+            }
+            if (isConfirming && configVersion === announced.version) {
+                announced = { version: configVersion, currentAtMs: receivedAtMs };
+            }
+            if (isConfirming && isNewestKnown()) {
+                confirm(receivedAtMs);
+            }
+        },
+        evidence: () =>
+            inForce === undefined ? undefined : {
+                ...inForce,
+                confirmedAtMs,
+                newestKnownVersion: Math.max(inForce.version, announced.version),
+            },
+    };
+}
--- a/packages/gateway/src/clusterState/tableWatch.ts
+++ b/packages/gateway/src/clusterState/tableWatch.ts
@@ -8,6 +8,7 @@
 import { sleep } from "@rattanquay/timer";
 import { type GatewayContext } from "../gatewayContext";
 import { type RowChanges, type StoredRow, type StoreOutcome } from "../ports";
+import { makeAnswerCheck } from "./answerCheck";
 
 export type TableReader = {
     readonly onSnapshot: (rows: readonly StoredRow[], asOf: number) => void;
@@ -57,6 +58,8 @@
     readonly maxWaitMs: () => number;
     /** The revision up to which the changes are known from elsewhere; 0 if unknown. */
     readonly knownRevision: () => number;
+    /** Called after an answer has been applied that is up to date as of the time at which it was asked for. */
+    readonly onUpToDate?: (askedAtMs: number) => void;
 };
 
 export function watchTable(options: WatchOptions, context: GatewayContext): TableWatch {
@@ -71,6 +74,7 @@
     let resume = (): void => undefined;
     /** The last answer since the watch was resumed. */
     let answeredAtMs = -Infinity;
+    const checkApplied = makeAnswerCheck(options.onUpToDate ?? (() => undefined));
 
     const noteOutcome = (outcome: StoreOutcome<unknown>): void => {
         const nowMs = timer.nowMs();
@@ -96,6 +100,7 @@
         if (outcome.kind === "done") {
             after = outcome.stamp.storeRevision;
             reader.onSnapshot(outcome.value, after);
+            checkApplied(outcome.stamp);
         }
     };
     const follow = async (from: number): Promise<void> => {
@@ -106,19 +111,17 @@
         if (outcome.kind === "done") {
             after = Math.max(from, after ?? from, outcome.stamp.storeRevision);
             reader.onChanges(outcome.value, after);
+            checkApplied(outcome.stamp);
         }
         if (outcome.kind === "historyLost") {
             log.warn("historyLost", { table, after: from });
             after = undefined;
         }
     };
-    const pauseMs = (beganAtMs: number): number => {
-        if (failures > 0) {
-            const factor = minBackoffFactor + (maxBackoffFactor - minBackoffFactor) * random();
-            return Math.min(maxBackoffMs, initialBackoffMs * 2 ** (failures - 1)) * factor;
-        }
-        return Math.max(0, options.minPollMs() - (timer.nowMs() - beganAtMs));
-    };
+    const pauseMs = (beganAtMs: number): number =>
+        failures > 0
+            ? backoffMs(failures, random())
+            : Math.max(0, options.minPollMs() - (timer.nowMs() - beganAtMs));
     const run = async (): Promise<void> => {
         while (running) {
             if (!active) {
@@ -157,6 +160,7 @@
                 // If the watch has lost its history meanwhile, it must still read the whole table.
                 after = after === undefined ? undefined : asOf;
                 reader.onChanges(outcome.value, asOf);
+                checkApplied(outcome.stamp);
             }
             return outcome.kind === "done";
         },
@@ -167,6 +171,12 @@
     };
 }
 
+/** `random` is in [0, 1). */
+function backoffMs(failures: number, random: number): number {
+    const factor = minBackoffFactor + (maxBackoffFactor - minBackoffFactor) * random;
+    return Math.min(maxBackoffMs, initialBackoffMs * 2 ** (failures - 1)) * factor;
+}
+
 function reasonOf(outcome: StoreOutcome<unknown>): string | undefined {
     return outcome.kind === "refused" || outcome.kind === "unanswered" ? outcome.reason : undefined;
 }
--- a/packages/gateway/src/clusterState/watchClusterState.ts
+++ b/packages/gateway/src/clusterState/watchClusterState.ts
@@ -47,6 +47,7 @@
         log,
         metrics,
         zone => settings.regions === undefined || Object.hasOwn(settings.regions, zone),
+        timer.nowMs,
     );
     const maxWaitMs = longestWaitMs(settings.bounds.contactMs, ports.store.followSlackMs);
     let isRelaying = false;
@@ -66,6 +67,7 @@
         minPollMs: () => 0,
         maxWaitMs: () => maxWaitMs,
         knownRevision: () => 0,
+        onUpToDate: clusterState.configurationAge.noteStoreAnswer,
         reader: {
             onSnapshot: (rows, asOf) => {
                 evacuations.onSnapshot(rows, asOf);
--- a/packages/gateway/src/peers/__tests__/stateFollower.test.ts
+++ b/packages/gateway/src/peers/__tests__/stateFollower.test.ts
@@ -4,7 +4,7 @@
 import { VirtualTimer } from "@rattanquay/timer";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { type ClusterStateWatch } from "../../clusterState";
+import { type ClusterStateWatch, makeConfigurationAge } from "../../clusterState";
 import { type GatewayContext } from "../../gatewayContext";
 import { type Links } from "../links";
 import { startStateFollower } from "../stateFollower";
@@ -21,6 +21,8 @@
     let knownRevision = 10;
     let readsStore = true;
     const requested: string[] = [];
+    const configurationAge = makeConfigurationAge();
+    configurationAge.noteInForce(1, "peer", timer.nowMs());
     const peers = ["e1", "e2"].map((instance): GatewayInstance => ({
         instance,
         availabilityZone: "a",
@@ -39,6 +41,7 @@
     const watch = {
         clusterState: {
             routes: () => ({ version: 1 }),
+            configurationAge,
             hasCompleteList: () => true,
             asOf: () => knownRevision,
             evacuations: { newest: () => 0 },
@@ -87,7 +90,13 @@
             await Promise.resolve();
         }
     };
-    return { run, requested, revision: () => knownRevision, readsStore: () => readsStore };
+    return {
+        run,
+        requested,
+        evidence: configurationAge.evidence,
+        revision: () => knownRevision,
+        readsStore: () => readsStore,
+    };
 }
 
 const sound: RelayBehavior = { announces: true, answers: true };
@@ -140,4 +149,13 @@
     });
 }
 
+test("CONFIG: notices of current relays confirm the configuration as of their arrival", async () => {
+    const follower = makeFollower({ e1: sound, e2: sound });
+    assert.is(follower.evidence()?.confirmedAtMs, undefined);
+    await follower.run(noticeEveryMs, () => 10);
+    const firstAtMs = follower.evidence()?.confirmedAtMs;
+    await follower.run(2 * noticeEveryMs, () => 10);
+    assert.is(follower.evidence()?.confirmedAtMs, firstAtMs! + 2 * noticeEveryMs);
+});
+
 test.run();
--- a/packages/gateway/src/peers/stateFollower.ts
+++ b/packages/gateway/src/peers/stateFollower.ts
@@ -118,6 +118,7 @@
     return {
         receiveNotice: notice => {
             source.noteNotice(notice, timer.nowMs());
+            clusterState.configurationAge.noteNotice(notice, timer.nowMs());
             if (!isBehind(notice)) {
                 return;
             }
