Say in requestEnded on what each final refusal was decided

Change: the same line gets `decidedOn`: version, origin and ages of the configuration as read for the request, host, whether a key was sent, its short digest, whether it is known and required; of a body its size and the bound; of an upstream's answer its id and whether it was sealed. An upstream's answer above the buffer, which ends with the code `ok`, has it too. Refusals of a key or a body now name the route that matched, in the line and in the label `kind` of requests_total, which was `none`. No answer changes.

--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -1,6 +1,6 @@
 /** Admits a request: finds its route and workspace and reads its body, then runs it or refuses it with a reason. */
-import { chooseService, intersectRegions, type RouteTable, urgencyOf } from "@rattanquay/core";
-import { type CallerConnection } from "@rattanquay/peer";
+import { chooseService, intersectRegions, urgencyOf } from "@rattanquay/core";
+import { type CallerBody, type CallerConnection } from "@rattanquay/peer";
 import { type ServingRoute } from "@rattanquay/schema";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { isEvacuationKnown } from "../clusterState";
@@ -9,6 +9,7 @@
 import { type CallerAnswer, type CallerResponse, makeCallerAnswer } from "./callerAnswer";
 import { type ExchangeOutcome, runExchange } from "./exchange";
 import { type ExchangeDependencies } from "./exchangeDependencies";
+import { type AnswerSource, type DecisionBasis, describeDecision, isFinalRefusal } from "./finalRefusal";
 import { type Refusal, refusals, refuse } from "./refusals";
 
 type Arrival = {
@@ -36,35 +37,36 @@
     const answer = makeCallerAnswer(response, caller.lastEventId);
     const arrival: Arrival = { request, response, answer, caller, connection, arrivedAtMs: timer.nowMs() };
     const held = dependencies.callerMemory.hold(request, response);
-    const routes = dependencies.clusterState.routes();
+    const basis = readBasis(dependencies);
     if (isInExcess) {
-        refuseArrival(arrival, "busy", dependencies, routes);
+        refuseArrival(arrival, "busy", dependencies, { basis });
         return;
     }
-    if (routes === undefined || !isEvacuationKnown(dependencies.context.settings, dependencies.clusterState)) {
-        refuseArrival(arrival, "noConfiguration", dependencies, undefined);
+    if (basis === undefined || !isEvacuationKnown(dependencies.context.settings, dependencies.clusterState)) {
+        refuseArrival(arrival, "noConfiguration", dependencies, {});
         return;
     }
+    const { routes } = basis;
     const route = routes.findRoute(request.headers.host, request.url ?? "/");
     if (route === undefined) {
-        refuseArrival(arrival, "unknownRoute", dependencies, routes);
+        refuseArrival(arrival, "unknownRoute", dependencies, { basis });
         return;
     }
     const isKeyOptional = route.isPublic || !routes.requiresKeys;
     const workspace = caller.key === undefined ? undefined : routes.findWorkspace(caller.key);
     if (!isKeyOptional && workspace === undefined) {
-        refuseArrival(arrival, "unknownKey", dependencies, routes);
+        refuseArrival(arrival, "unknownKey", dependencies, { basis, route });
         return;
     }
     const { bounds } = routes.config;
     const reading = await held.readBody({ maxBytes: bounds.maxBodyBytes, limitMs: bodyLimitMs(caller, route) });
     if (reading.kind !== "read") {
-        refuseUnreadBody(arrival, reading.kind, dependencies, routes);
+        refuseUnreadBody(arrival, reading, dependencies, { basis, route });
         return;
     }
     const service = routes.findService(chooseService(route, dependencies.context.random()) ?? "");
     if (service === undefined) {
-        refuseArrival(arrival, "noUpstream", dependencies, routes);
+        refuseArrival(arrival, "noUpstream", dependencies, { basis });
         return;
     }
     const waitMs = Math.min(route.timeoutMs, caller.deadlineMs ?? route.timeoutMs);
@@ -82,11 +84,16 @@
         endByMs: arrival.arrivedAtMs + waitMs,
         isRepeatable: route.kind === "idempotent" || (route.kind === "streaming" && route.isResumable),
     };
-    runExchange(
-        admitted,
-        dependencies,
-        outcome => recordEnd(arrival, outcome, dependencies, { route, version: routes.version }),
-    );
+    runExchange(admitted, dependencies, outcome => recordEnd(arrival, outcome, dependencies, { basis, route }));
+}
+
+/** Undefined while no configuration is in force. */
+function readBasis({ clusterState, context: { timer } }: ExchangeDependencies): DecisionBasis | undefined {
+    const routes = clusterState.routes();
+    const evidence = clusterState.configurationEvidence();
+    return routes === undefined || evidence === undefined
+        ? undefined
+        : { routes, evidence, readAtMs: timer.nowMs() };
 }
 
 function bodyLimitMs({ deadlineMs }: CallerRequest, { timeoutMs }: ServingRoute): number {
@@ -102,55 +109,76 @@
 
 function refuseUnreadBody(
     arrival: Arrival,
-    kind: keyof typeof bodyRefusals,
+    body: Exclude<CallerBody, { readonly kind: "read" }>,
     dependencies: ExchangeDependencies,
-    routes: RouteTable,
+    decision: Decision,
 ): void {
-    const refusal = bodyRefusals[kind];
+    const refusal = bodyRefusals[body.kind];
     if (refusal === undefined) {
-        recordEnd(arrival, { ending: "callerGone", code: "callerGone", status: 0 }, dependencies, {
-            version: routes.version,
-        });
+        recordEnd(arrival, { ending: "callerGone", code: "callerGone", status: 0 }, dependencies, decision);
         return;
     }
-    refuseArrival(arrival, refusal, dependencies, routes);
+    const bodyBytes = body.kind === "tooLarge" ? body.bytes : undefined;
+    refuseArrival(arrival, refusal, dependencies, { ...decision, bodyBytes });
 }
 
 function refuseArrival(
     arrival: Arrival,
     refusal: Refusal,
     dependencies: ExchangeDependencies,
-    routes: RouteTable | undefined,
+    decision: Decision,
 ): void {
     const { request, answer } = arrival;
     refuse(answer, request, refusal, dependencies.context.ports.requestCodec, startRetryAfterMs);
     const { status, ending } = refusals[refusal];
-    recordEnd(arrival, { ending, code: refusal, status }, dependencies, { version: routes?.version });
+    recordEnd(arrival, { ending, code: refusal, status }, dependencies, decision);
 }
 
-type RoutingResult = { readonly route?: ServingRoute; readonly version: number | undefined };
+/** What was found out about a request before it ended. */
+type Decision = {
+    /** Undefined if no configuration was in force. */
+    readonly basis?: DecisionBasis | undefined;
+    readonly route?: ServingRoute;
+    readonly bodyBytes?: number | undefined;
+    readonly source?: AnswerSource | undefined;
+};
 
 function recordEnd(
     arrival: Arrival,
     outcome: ExchangeOutcome,
     dependencies: ExchangeDependencies,
-    routing: RoutingResult,
+    decision: Decision,
 ): void {
     const { caller, request, arrivedAtMs } = arrival;
     const { log, metrics, timer } = dependencies.context;
+    const { answerSource, ...loggedOutcome } = outcome;
     const { ending, status } = outcome;
-    metrics.requests.inc({ kind: routing.route?.kind ?? "none", ending, status: String(status) });
+    metrics.requests.inc({ kind: decision.route?.kind ?? "none", ending, status: String(status) });
     log.info("requestEnded", {
         requestId: caller.requestId,
         path: request.url,
-        route: routing.route?.name,
-        configVersion: routing.version,
-        ...outcome,
+        route: decision.route?.name,
+        configVersion: decision.basis?.routes.version,
+        ...loggedOutcome,
         durationMs: Math.round(timer.nowMs() - arrivedAtMs),
+        ...decisionFields(arrival, loggedOutcome, { ...decision, source: answerSource }),
         ...stopFields(arrival, dependencies),
     });
 }
 
+/** For an answer that tells the caller that it is wrong: what that rests on. */
+function decisionFields(
+    { caller, request }: Arrival,
+    { status }: ExchangeOutcome,
+    { basis, route, bodyBytes, source }: Decision,
+) {
+    if (basis === undefined || !isFinalRefusal(status)) {
+        return {};
+    }
+    const refusal = { host: request.headers.host, key: caller.key, route, bodyBytes, source };
+    return { decidedOn: describeDecision(basis, refusal) };
+}
+
 /** For a request that ends while the process stops: how late in the stop it came, and on what kind of connection. */
 function stopFields({ connection, arrivedAtMs }: Arrival, { lifetime }: ExchangeDependencies) {
     const stop = lifetime.stop();
--- a/packages/gateway/src/exchange/attemptRun.ts
+++ b/packages/gateway/src/exchange/attemptRun.ts
@@ -21,8 +21,11 @@
     readonly hasExchangeEnded: () => boolean;
     /** Whether the request could be sent to another upstream if this attempt were aborted now. */
     readonly canRetryElsewhere: () => boolean;
-    /** Called once, unless the exchange has ended; `answeringMs` is for how long the answer had been arriving. */
-    readonly onResult: (result: AttemptResult, answeringMs: number | undefined) => void;
+    /**
+     * Called once, unless the exchange has ended. `answeringMs` is for how long the answer had been arriving, and
+     * `isSealed` whether its head carried the upstream's seal.
+     */
+    readonly onResult: (result: AttemptResult, answeringMs: number | undefined, isSealed: boolean) => void;
     /** Called instead of `onResult` if the upstream is cold and the request was too late for its grant, or had none. */
     readonly onHeldBack: () => void;
 };
@@ -37,7 +40,7 @@
     const { admitted, dependencies, placement, relay, hasExchangeEnded, onResult } = options;
     const { timer } = dependencies.context;
     const reader = relay.begin();
-    const progress = { hasHead: false, lastBytesAtMs: timer.nowMs(), isPaused: false };
+    const progress = { hasHead: false, isSealed: false, lastBytesAtMs: timer.nowMs(), isPaused: false };
     let firstBytesAtMs: number | undefined;
     const noteAnswer = (isFaulty: boolean): void => placement.upstream.load.faults.noteAnswer(isFaulty, timer.nowMs());
     const abortFor = (reason: string | undefined): void => {
@@ -49,6 +52,7 @@
     const attempt = startAttempt(attemptOptions(options), {
         onHead: head => {
             progress.hasHead = true;
+            progress.isSealed = head.isSealed;
             abortFor(reader.onHead(head));
         },
         onBytes: bytes => {
@@ -98,7 +102,8 @@
                 noteAnswer(result.kind === "failed" && result.answer.status >= firstServerError);
             }
             watch.noteEnd(observeEnd(end, result));
-            onResult(result, firstBytesAtMs === undefined ? undefined : timer.nowMs() - firstBytesAtMs);
+            const answeringMs = firstBytesAtMs === undefined ? undefined : timer.nowMs() - firstBytesAtMs;
+            onResult(result, answeringMs, progress.isSealed);
         },
         onUnreadable: fault => {
             noteAnswer(true);
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -21,6 +21,7 @@
 import { type AttemptRun, runAttempt } from "./attemptRun";
 import { type ExchangeDependencies } from "./exchangeDependencies";
 import { exclusionOf } from "./exclusion";
+import { type AnswerSource } from "./finalRefusal";
 import { type BufferedAnswer } from "./framedResponse";
 import { noteServed, refusalDelayMs, retryAfterMs, spreadRetryMs } from "./loadShedding";
 import { candidatesOf, choosePlacement, hasColdCandidate, pauseLeftMs, type Placement } from "./placement";
@@ -39,6 +40,8 @@
     readonly predictedMs?: number;
     /** The segments of the prompt, which tell requests that fail for a common cause. */
     readonly segments?: readonly string[];
+    /** Whose answer the caller gets, if it is an upstream's. */
+    readonly answerSource?: AnswerSource;
 };
 
 /** The final answer is sent this long before the caller's deadline. */
@@ -67,6 +70,7 @@
     private sends: AttemptCounts = noAttemptsYet;
     /** An error response of an upstream, which the caller gets if no other attempt succeeds. */
     private errorAnswer: BufferedAnswer | undefined;
+    private errorSource: AnswerSource | undefined;
     private currentAttempt: AttemptRun | undefined;
     private cancelTimeout: Cancel = () => undefined;
     private cancelGiveUp: Cancel = () => undefined;
@@ -106,7 +110,12 @@
         metrics.firstByte.observe({ kind: this.admitted.route.kind }, this.firstByteMs / msPerSecond);
     }
 
-    private finish(ending: ExchangeOutcome["ending"], code: string, status: number): void {
+    private finish(
+        ending: ExchangeOutcome["ending"],
+        code: string,
+        status: number,
+        answerSource?: AnswerSource,
+    ): void {
         if (this.hasEnded) {
             return;
         }
@@ -119,7 +128,8 @@
         const { triedUpstreams, firstByteMs, predictedMs } = this;
         const segments = segmentsForLog(this.admitted);
         noteServed(this.admitted, ending === "answered" ? firstByteMs : undefined, this.dependencies);
-        this.onEnd({ ending, code, status, upstreams: [...triedUpstreams], firstByteMs, predictedMs, segments });
+        const upstreams = [...triedUpstreams];
+        this.onEnd({ ending, code, status, upstreams, firstByteMs, predictedMs, segments, answerSource });
     }
 
     private refuseWith(refusal: Refusal, retryDelayMs = retryAfterMs(this.admitted, this.dependencies)): void {
@@ -140,7 +150,7 @@
     private endWithoutSuccess(refusalIfUnsent: Refusal, retryDelayMs?: number): void {
         const { errorAnswer, admitted, sends } = this;
         if (errorAnswer !== undefined && admitted.answer.sendWhole(errorAnswer)) {
-            this.finish("answered", "upstreamFailed", errorAnswer.status);
+            this.finish("answered", "upstreamFailed", errorAnswer.status, this.errorSource);
             return;
         }
         const refusedAs = sends.last === undefined ? refusalIfUnsent : "notRun";
@@ -290,9 +300,10 @@
             relay,
             hasExchangeEnded: () => this.hasEnded,
             canRetryElsewhere: () => this.canRetryElsewhere(),
-            onResult: (result, answeringMs) => {
+            onResult: (result, answeringMs, isSealed) => {
                 this.currentAttempt = undefined;
-                this.handleResult(result, placement, answeringMs);
+                const source = { upstream: placement.upstream.record.id, isSealed };
+                this.handleResult(result, placement, answeringMs, source);
             },
             onHeldBack: () => {
                 this.currentAttempt = undefined;
@@ -315,16 +326,24 @@
     }
 
     /** `answeringMs` is for how long the answer had been arriving. */
-    private handleResult(result: AttemptResult, placement: Placement, answeringMs: number | undefined): void {
+    private handleResult(
+        result: AttemptResult,
+        placement: Placement,
+        answeringMs: number | undefined,
+        source: AnswerSource,
+    ): void {
         const { metrics } = this.dependencies.context;
         const { kind } = this.admitted.route;
         metrics.attempts.inc({ kind, result: result.kind === "short" ? result.failure : result.kind });
         if (result.kind === "answered") {
-            this.finish("answered", "ok", result.status);
+            this.finish("answered", "ok", result.status, source);
             return;
         }
         const failure = result.kind === "failed" ? "failed" : result.failure;
-        this.errorAnswer = result.kind === "failed" ? result.answer : this.errorAnswer;
+        if (result.kind === "failed") {
+            this.errorAnswer = result.answer;
+            this.errorSource = source;
+        }
         this.logFailedAttempt(result, failure, placement, answeringMs);
         const canRetry = this.canRetryAfter(failure) && this.timeLeftMs() >= minAttemptMs;
         this.sends = countAttempt(this.sends, failure);
--- /dev/null
+++ b/packages/gateway/src/exchange/finalRefusal.ts
@@ -0,0 +1,67 @@
+/**
+ * Describes on what a final refusal was decided: an answer that tells the caller that its request is wrong, so that
+ * the caller does not repeat it.
+ */
+import { type RouteTable } from "@rattanquay/core";
+import { type ServingRoute } from "@rattanquay/schema";
+import { type ConfigurationEvidence } from "../clusterState";
+import { digestKey } from "../keyDigest";
+
+/** The configuration that decides on a request, and what was known of its age when it was read for that. */
+export type DecisionBasis = {
+    readonly routes: RouteTable;
+    readonly evidence: ConfigurationEvidence;
+    readonly readAtMs: number;
+};
+
+/** The upstream whose answer is passed on. */
+export type AnswerSource = {
+    readonly upstream: string;
+    /** Whether the answer carries the upstream's seal. */
+    readonly isSealed: boolean;
+};
+
+export type FinalRefusal = {
+    readonly host: string | undefined;
+    readonly key: string | undefined;
+    readonly route: ServingRoute | undefined;
+    /** The size of a body that is too large: as announced, or as far as it was read. */
+    readonly bodyBytes?: number;
+    readonly source?: AnswerSource;
+};
+
+/** The field `decidedOn` of a `requestEnded` line. Its size is bounded. */
+export type DecidedOn = ReturnType<typeof describeDecision>;
+
+const firstRedirection = 300;
+const firstServerError = 500;
+/** Statuses after which callers may repeat the request as it is: timeout, misdirected, and too many requests. */
+const repeatableStatuses: ReadonlySet<number> = new Set([408, 421, 429]);
+const maxHostLength = 100;
+
+/** Whether a status tells the caller that the request is wrong as it is. */
+export function isFinalRefusal(status: number): boolean {
+    return status >= firstRedirection && status < firstServerError && !repeatableStatuses.has(status);
+}
+
+/** Ages are in milliseconds, as of the time at which the configuration was read. */
+export function describeDecision(
+    { routes, evidence, readAtMs }: DecisionBasis,
+    { host, key, route, bodyBytes, source }: FinalRefusal,
+) {
+    const { origin, inForceSinceMs, confirmedAtMs, newestKnownVersion } = evidence;
+    return {
+        configVersion: routes.version,
+        origin,
+        ageMs: Math.round(readAtMs - inForceSinceMs),
+        confirmedAgeMs: confirmedAtMs === undefined ? undefined : Math.round(readAtMs - confirmedAtMs),
+        newestKnownVersion: newestKnownVersion > routes.version ? newestKnownVersion : undefined,
+        host: host?.slice(0, maxHostLength),
+        hasKey: key !== undefined,
+        keyDigest: key === undefined ? undefined : digestKey(key),
+        isKeyKnown: key === undefined ? undefined : routes.findWorkspace(key) !== undefined,
+        requiresKey: routes.requiresKeys && route?.isPublic !== true,
+        ...bodyBytes === undefined ? {} : { bodyBytes, maxBodyBytes: routes.config.bounds.maxBodyBytes },
+        ...source,
+    };
+}
--- a/packages/peer/src/callers/callerBody.ts
+++ b/packages/peer/src/callers/callerBody.ts
@@ -7,7 +7,8 @@
 
 export type CallerBody =
     | { readonly kind: "read"; readonly body: RequestBody }
-    | { readonly kind: "tooLarge" }
+    /** `bytes` is the announced size, or how much had arrived when the body was too large. */
+    | { readonly kind: "tooLarge"; readonly bytes: number }
     /** It did not arrive in time, or made no progress for too long. */
     | { readonly kind: "late" }
     /** The process holds too much to take it. */
@@ -66,7 +67,7 @@
             size += chunk.length;
             holding.moved = size;
             if (size > maxBytes) {
-                finish({ kind: "tooLarge" });
+                finish({ kind: "tooLarge", bytes: size });
                 return;
             }
             if (!collector.push(chunk)) {
@@ -79,8 +80,9 @@
         };
         const cancel = timer.after(limitMs, () => finish({ kind: "late" }));
         onEndable(finish);
-        if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
-            finish({ kind: "tooLarge" });
+        const announcedBytes = Number(request.headers["content-length"] ?? 0);
+        if (announcedBytes > maxBytes) {
+            finish({ kind: "tooLarge", bytes: announcedBytes });
             return;
         }
         request.on("data", onData);
