Count final refusals, and show how long ago the configuration was confirmed

Cause: the metrics had statuses, but nothing told a 401 on a configuration that was just confirmed from one on an old configuration.

Change: `rattanquay_gateway_final_refusals_total` by code and by whether the configuration was confirmed within a second, and the gauge `rattanquay_gateway_config_confirmed_age_seconds`, set at each scrape and +Inf before the first confirmation. The labels are the codes of requestEnded.

--- a/packages/gateway/src/clusterState/__tests__/configurationAge.test.ts
+++ b/packages/gateway/src/clusterState/__tests__/configurationAge.test.ts
@@ -1,7 +1,8 @@
 /** Guards against a configuration that counts as confirmed although a newer one may have existed for some time. */
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { type ConfigurationAge, makeConfigurationAge } from "../configurationAge";
+import { makeGatewayMetrics } from "../../metrics";
+import { type ConfigurationAge, confirmedAgeMs, makeConfigurationAge } from "../configurationAge";
 
 type Step = (age: ConfigurationAge) => void;
 
@@ -109,4 +110,21 @@
     });
 });
 
+const ages: readonly { name: string; steps: readonly Step[]; line: string }[] = [
+    { name: "without a configuration", steps: [], line: "+Inf" },
+    { name: "before the first confirmation", steps: [inForce(3, 10)], line: "+Inf" },
+    { name: "after a confirmation", steps: [inForce(3, 10), storeAnswer(500)], line: "2" },
+];
+
+for (const { name, steps, line } of ages) {
+    test(`CONFIG: the metrics call a configuration fresh that is not: ${name}`, async () => {
+        const age = makeConfigurationAge();
+        steps.forEach(step => step(age));
+        const { configConfirmedAge, registry } = makeGatewayMetrics();
+        configConfirmedAge.set(confirmedAgeMs(age.evidence(), 2_500) / 1_000);
+        const text = await registry.getSingleMetricAsString("rattanquay_gateway_config_confirmed_age_seconds");
+        assert.is(text.split("\n").at(-1), `rattanquay_gateway_config_confirmed_age_seconds ${line}`);
+    });
+}
+
 test.run();
--- a/packages/gateway/src/clusterState/configurationAge.ts
+++ b/packages/gateway/src/clusterState/configurationAge.ts
@@ -41,6 +41,11 @@
     readonly evidence: () => ConfigurationEvidence | undefined;
 };
 
+/** Time since the configuration was last confirmed to be the newest; infinite if it never was, or if there is none. */
+export function confirmedAgeMs(evidence: ConfigurationEvidence | undefined, nowMs: number): number {
+    return nowMs - (evidence?.confirmedAtMs ?? -Infinity);
+}
+
 type InForce = Pick<ConfigurationEvidence, "version" | "origin" | "inForceSinceMs">;
 
 export function makeConfigurationAge(): ConfigurationAge {
--- a/packages/gateway/src/exchange/__tests__/finalRefusals.test.ts
+++ b/packages/gateway/src/exchange/__tests__/finalRefusals.test.ts
@@ -2,6 +2,7 @@
  * Guards against a caller that is told that it is wrong without a line that says on what that was decided, against a key
  * in the log, and against an answer that is not final and yet counts as a refusal.
  */
+import { systemTimer } from "@rattanquay/timer";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { digestKey } from "../../keyDigest";
@@ -159,6 +160,39 @@
     return Object.fromEntries(Object.entries(fields).filter(([, value]) => value !== undefined));
 }
 
+const confirmations: readonly {
+    name: string;
+    confirmedAgoMs: number | undefined;
+    isConfirmed: "true" | "false";
+}[] = [
+    { name: "never confirmed", confirmedAgoMs: undefined, isConfirmed: "false" },
+    { name: "confirmed just now", confirmedAgoMs: 100, isConfirmed: "true" },
+    { name: "confirmed long ago", confirmedAgoMs: 5_000, isConfirmed: "false" },
+];
+
+for (const { name, confirmedAgoMs, isConfirmed } of confirmations) {
+    test(`DENIED: refusals on an old configuration look like others in the metrics: ${name}`, async () => {
+        const served = await startServedRequests();
+        try {
+            served.clusterState.applyConfiguration(configuration, "store");
+            if (confirmedAgoMs !== undefined) {
+                served.clusterState.configurationAge.noteStoreAnswer(systemTimer.nowMs() - confirmedAgoMs);
+            }
+            await served.send(textOf({ path: "/lookup/1", key: wrongKey }));
+            const { values } = await served.metrics.finalRefusals.get();
+            assert.equal(values.map(({ labels, value }) => ({ ...labels, value })), [
+                { code: "unknownKey", isConfirmed, value: 1 },
+            ]);
+            const { confirmedAgeMs } = served.endedLines()[0]!.decidedOn as DecidedOn;
+            assert.is(confirmedAgeMs === undefined, confirmedAgoMs === undefined);
+            assert.ok(confirmedAgeMs === undefined || Math.abs(confirmedAgeMs - confirmedAgoMs!) < 500);
+        }
+        finally {
+            served.stop();
+        }
+    });
+}
+
 const statuses: readonly { status: number; isFinal: boolean }[] = [
     ...[200, 204, 299, 408, 421, 429, 500, 503].map(status => ({ status, isFinal: false })),
     ...[300, 304, 400, 401, 403, 404, 413, 431, 499].map(status => ({ status, isFinal: true })),
--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -9,7 +9,13 @@
 import { type CallerAnswer, type CallerResponse, makeCallerAnswer } from "./callerAnswer";
 import { type ExchangeOutcome, runExchange } from "./exchange";
 import { type ExchangeDependencies } from "./exchangeDependencies";
-import { type AnswerSource, type DecisionBasis, describeDecision, isFinalRefusal } from "./finalRefusal";
+import {
+    type AnswerSource,
+    type DecisionBasis,
+    describeDecision,
+    isFinalRefusal,
+    isRecentlyConfirmed,
+} from "./finalRefusal";
 import { type Refusal, refusals, refuse } from "./refusals";
 
 type Arrival = {
@@ -161,7 +167,7 @@
         configVersion: decision.basis?.routes.version,
         ...loggedOutcome,
         durationMs: Math.round(timer.nowMs() - arrivedAtMs),
-        ...decisionFields(arrival, loggedOutcome, { ...decision, source: answerSource }),
+        ...decisionFields(arrival, loggedOutcome, { ...decision, source: answerSource }, dependencies),
         ...stopFields(arrival, dependencies),
     });
 }
@@ -169,12 +175,14 @@
 /** For an answer that tells the caller that it is wrong: what that rests on. */
 function decisionFields(
     { caller, request }: Arrival,
-    { status }: ExchangeOutcome,
+    { code, status }: ExchangeOutcome,
     { basis, route, bodyBytes, source }: Decision,
+    { context: { metrics } }: ExchangeDependencies,
 ) {
     if (basis === undefined || !isFinalRefusal(status)) {
         return {};
     }
+    metrics.finalRefusals.inc({ code, isConfirmed: String(isRecentlyConfirmed(basis)) });
     const refusal = { host: request.headers.host, key: caller.key, route, bodyBytes, source };
     return { decidedOn: describeDecision(basis, refusal) };
 }
--- a/packages/gateway/src/exchange/finalRefusal.ts
+++ b/packages/gateway/src/exchange/finalRefusal.ts
@@ -4,7 +4,7 @@
  */
 import { type RouteTable } from "@rattanquay/core";
 import { type ServingRoute } from "@rattanquay/schema";
-import { type ConfigurationEvidence } from "../clusterState";
+import { type ConfigurationEvidence, confirmedAgeMs } from "../clusterState";
 import { digestKey } from "../keyDigest";
 
 /** The configuration that decides on a request, and what was known of its age when it was read for that. */
@@ -38,12 +38,19 @@
 /** Statuses after which callers may repeat the request as it is: timeout, misdirected, and too many requests. */
 const repeatableStatuses: ReadonlySet<number> = new Set([408, 421, 429]);
 const maxHostLength = 100;
+/** A configuration that was confirmed no longer ago than this counts as confirmed in the metrics. */
+const confirmationMs = 1_000;
 
 /** Whether a status tells the caller that the request is wrong as it is. */
 export function isFinalRefusal(status: number): boolean {
     return status >= firstRedirection && status < firstServerError && !repeatableStatuses.has(status);
 }
 
+/** Whether the configuration had been confirmed within the last second when it was read. */
+export function isRecentlyConfirmed({ evidence, readAtMs }: DecisionBasis): boolean {
+    return confirmedAgeMs(evidence, readAtMs) <= confirmationMs;
+}
+
 /** Ages are in milliseconds, as of the time at which the configuration was read. */
 export function describeDecision(
     { routes, evidence, readAtMs }: DecisionBasis,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,7 +8,13 @@
 import { sleep, type Timer } from "@rattanquay/timer";
 import { anyTrue } from "./anyTrue";
 import { startCallerMemory } from "./callerLimits";
-import { type ClusterState, isEvacuationKnown, reportUnknownRegions, watchClusterState } from "./clusterState";
+import {
+    type ClusterState,
+    confirmedAgeMs,
+    isEvacuationKnown,
+    reportUnknownRegions,
+    watchClusterState,
+} from "./clusterState";
 import { startColdGate } from "./cold";
 import { type Planning, startPlanning } from "./control";
 import { errorFields } from "./errorFields";
@@ -59,6 +65,7 @@
 const abortNoticeMs = 200;
 /** Minimum number of gateway instances that are assumed to share the retry budget. */
 const minInstances = 8;
+const msPerSecond = 1_000;
 
 export async function startGateway(context: GatewayOptions): Promise<Gateway> {
     const { settings, timer, log, metrics } = context;
@@ -104,7 +111,11 @@
         && isEvacuationKnown(settings, clusterState);
 
     const readinessListener = await startReadinessListener(settings.listeners.readiness, isReady);
-    const metricsListener = await startMetricsListener(settings.listeners.metrics, () => metrics.registry.metrics());
+    const metricsListener = await startMetricsListener(settings.listeners.metrics, () => {
+        const ageMs = confirmedAgeMs(clusterState.configurationEvidence(), timer.nowMs());
+        metrics.configConfirmedAge.set(ageMs / msPerSecond);
+        return metrics.registry.metrics();
+    });
     const serve: Serve = (request, response, connection, isInExcess) => {
         requests++;
         return serveRequest(request, response, connection, isInExcess, dependencies);
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -41,11 +41,6 @@
             labelNames: ["order", "result"],
             registers,
         }),
-        configVersion: new Gauge({
-            name: "rattanquay_gateway_config_version",
-            help: "The configuration version in force here.",
-            registers,
-        }),
         upstreams: new Gauge({
             name: "rattanquay_gateway_upstreams",
             help: "Upstreams known here.",
@@ -99,11 +94,34 @@
             help: "Upstreams that this process treats as cold.",
             registers,
         }),
+        ...configurationMetrics(registers),
         ...callerMetrics(registers),
         ...faultMetrics(registers),
     };
 }
 
+/** The configuration in force, and the final refusals that rest on it. */
+function configurationMetrics(registers: Registry[]) {
+    return {
+        finalRefusals: new Counter({
+            name: "rattanquay_gateway_final_refusals_total",
+            help: "Answers that tell the caller that it is wrong, by code and whether the configuration was confirmed.",
+            labelNames: ["code", "isConfirmed"],
+            registers,
+        }),
+        configConfirmedAge: new Gauge({
+            name: "rattanquay_gateway_config_confirmed_age_seconds",
+            help: "Time since the configuration in force was last confirmed to be the newest; +Inf before that.",
+            registers,
+        }),
+        configVersion: new Gauge({
+            name: "rattanquay_gateway_config_version",
+            help: "The configuration version in force here.",
+            registers,
+        }),
+    };
+}
+
 /** What is held for callers, and which limits have ended requests or connections. */
 function callerMetrics(registers: Registry[]) {
     return {
