Log what a new configuration changes about keys and routes

Cause: `configurationInForce` had the version alone, so that no log could tell whether a refused key or route was in any version that may have been in force.

Change: the line gets the counts of routes, services and keys, the largest body, and the digests of keys and the names of routes that were added, removed or match differently: at most 20 of each, with the total. The fixture of reportUnknownRegions.test.ts was no whole configuration and gets its bounds; its checks are the same.

Measured: tests of clusterState pass, run file by file with tsx; format and lint pass.

--- a/packages/gateway/src/clusterState/__tests__/reportUnknownRegions.test.ts
+++ b/packages/gateway/src/clusterState/__tests__/reportUnknownRegions.test.ts
@@ -56,6 +56,7 @@
                 version: index + 1,
                 routes: [{ name: "r", hostname: "h", prefix: "/", allowedRegions: route }],
                 services: [],
+                bounds: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
                 workspaces: [{ workspace: "w", keys: [], allowedRegions: workspace }],
             };
             clusterState.applyConfiguration(config as unknown as ServingConfig, "store");
--- a/packages/gateway/src/clusterState/clusterState.ts
+++ b/packages/gateway/src/clusterState/clusterState.ts
@@ -9,6 +9,7 @@
 import { type Log } from "@rattanquay/telemetry";
 import { type GatewayMetrics } from "../metrics";
 import { type ConfigurationAge, type ConfigurationEvidence, makeConfigurationAge } from "./configurationAge";
+import { describeChanges } from "./configurationChanges";
 import { type Evacuations, makeEvacuations } from "./evacuations";
 import { type Origin } from "./origin";
 
@@ -133,7 +134,7 @@
             if (table !== undefined && config.version <= table.version) {
                 return;
             }
-            log.info("configurationInForce", { version: config.version, before: table?.version, origin });
+            log.info("configurationInForce", { ...describeChanges(table?.config, config), origin });
             table = makeRouteTable(config);
             configurationAge.noteInForce(config.version, origin, nowMs());
             metrics.configVersion.set(config.version);
