Log and count the errors that end a send as an unreadable path

Change: each such error is a line `unexpectedError` with the origin `send`, request id, upstream, path and stack, and is counted with that origin. The answer stays as it was.

--- a/packages/gateway/src/exchange/__tests__/finalRefusals.test.ts
+++ b/packages/gateway/src/exchange/__tests__/finalRefusals.test.ts
@@ -160,6 +160,24 @@
     return Object.fromEntries(Object.entries(fields).filter(([, value]) => value !== undefined));
 }
 
+test("DENIED: an error of the program looks like a wrong target, and leaves no trace", async () => {
+    const served = await startServedRequests();
+    try {
+        served.clusterState.applyConfiguration(configuration, "store");
+        await served.send(textOf({ path: brokenPath, key: validKey }));
+        const errors = served.lines.filter(({ event }) => event === "unexpectedError");
+        assert.equal(errors.map(({ error: unusedText, ...fields }) => fields), [
+            { event: "unexpectedError", origin: "send", requestId: "r1", upstream: "u-1", path: brokenPath },
+        ]);
+        assert.match(String(errors[0]!.error), /planted by the test/);
+        const { values } = await served.metrics.unexpectedErrors.get();
+        assert.equal(values.map(({ labels, value }) => ({ ...labels, value })), [{ origin: "send", value: 1 }]);
+    }
+    finally {
+        served.stop();
+    }
+});
+
 const confirmations: readonly {
     name: string;
     confirmedAgoMs: number | undefined;
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -17,6 +17,7 @@
 import { type Ending } from "@rattanquay/schema";
 import { type Cancel } from "@rattanquay/timer";
 import { type ColdGrant } from "../cold";
+import { errorFields } from "../errorFields";
 import { type AdmittedRequest, promptRequestOf } from "./admittedRequest";
 import { type AttemptRun, runAttempt } from "./attemptRun";
 import { type ExchangeDependencies } from "./exchangeDependencies";
@@ -276,12 +277,26 @@
         try {
             this.send(placement, grant);
         }
-        catch {
+        catch (error) {
             // Node throws if the request target contains characters that it cannot send unchanged.
+            this.logSendError(error, placement);
             this.refuseWith("unreadablePath");
         }
     }
 
+    private logSendError(error: unknown, { upstream }: Placement): void {
+        const { admitted: { caller, request }, dependencies: { context: { log, metrics } } } = this;
+        const origin = "send";
+        metrics.unexpectedErrors.inc({ origin });
+        log.error("unexpectedError", {
+            origin,
+            requestId: caller.requestId,
+            upstream: upstream.record.id,
+            path: request.url,
+            ...errorFields(error),
+        });
+    }
+
     private hasTimeInThisProcess({ predictedEndMs }: Placement): boolean {
         const { admitted, dependencies: { lifetime, context: { timer } } } = this;
         const stop = lifetime.stop();
