Move the test for final refusals to the core

Cause: the chat interface needs the same rule for its outcome lines.

Change: `isFinalRefusal` and its table of statuses move to packages/core.

--- a/packages/core/src/outcomes/index.ts
+++ b/packages/core/src/outcomes/index.ts
@@ -9,6 +9,7 @@
     continueClaim,
     startClaim,
 } from "./claim";
+export { isFinalRefusal } from "./finalRefusal";
 export { isRepeatable } from "./repeatable";
 export { makeRetryBudget, type RetryBudget } from "./retryBudget";
 export { type HeldClaim, planSettlement, type Settlement } from "./settlement";
--- a/packages/gateway/src/exchange/__tests__/finalRefusals.test.ts
+++ b/packages/gateway/src/exchange/__tests__/finalRefusals.test.ts
@@ -6,7 +6,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { digestKey } from "../../keyDigest";
-import { type DecidedOn, isFinalRefusal } from "../finalRefusal";
+import { type DecidedOn } from "../finalRefusal";
 import { brokenPath, configuration, maxBodyBytes, startServedRequests, validKey } from "./servedRequests";
 
 const wrongKey = "taken-key-00000000000";
@@ -211,13 +211,4 @@
     });
 }
 
-const statuses: readonly { status: number; isFinal: boolean }[] = [
-    ...[200, 204, 299, 408, 421, 429, 500, 503].map(status => ({ status, isFinal: false })),
-    ...[300, 304, 400, 401, 403, 404, 413, 431, 499].map(status => ({ status, isFinal: true })),
-];
-
-for (const { status, isFinal } of statuses) {
-    test(`DENIED: the wrong answers count as final: ${status}`, () => assert.is(isFinalRefusal(status), isFinal));
-}
-
 test.run();
--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -1,5 +1,5 @@
 /** Admits a request: finds its route and workspace and reads its body, then runs it or refuses it with a reason. */
-import { chooseService, intersectRegions, urgencyOf } from "@rattanquay/core";
+import { chooseService, intersectRegions, isFinalRefusal, urgencyOf } from "@rattanquay/core";
 import { type CallerBody, type CallerConnection } from "@rattanquay/peer";
 import { type ServingRoute } from "@rattanquay/schema";
 import { type IncomingMessage, type ServerResponse } from "node:http";
@@ -9,13 +9,7 @@
 import { type CallerAnswer, type CallerResponse, makeCallerAnswer } from "./callerAnswer";
 import { type ExchangeOutcome, runExchange } from "./exchange";
 import { type ExchangeDependencies } from "./exchangeDependencies";
-import {
-    type AnswerSource,
-    type DecisionBasis,
-    describeDecision,
-    isFinalRefusal,
-    isRecentlyConfirmed,
-} from "./finalRefusal";
+import { type AnswerSource, type DecisionBasis, describeDecision, isRecentlyConfirmed } from "./finalRefusal";
 import { type Refusal, refusals, refuse } from "./refusals";
 
 type Arrival = {
--- a/packages/gateway/src/exchange/finalRefusal.ts
+++ b/packages/gateway/src/exchange/finalRefusal.ts
@@ -33,19 +33,10 @@
 /** The field `decidedOn` of a `requestEnded` line. Its size is bounded. */
 export type DecidedOn = ReturnType<typeof describeDecision>;
 
-const firstRedirection = 300;
-const firstServerError = 500;
-/** Statuses after which callers may repeat the request as it is: timeout, misdirected, and too many requests. */
-const repeatableStatuses: ReadonlySet<number> = new Set([408, 421, 429]);
 const maxHostLength = 100;
 /** A configuration that was confirmed no longer ago than this counts as confirmed in the metrics. */
 const confirmationMs = 1_000;
 
-/** Whether a status tells the caller that the request is wrong as it is. */
-export function isFinalRefusal(status: number): boolean {
-    return status >= firstRedirection && status < firstServerError && !repeatableStatuses.has(status);
-}
-
 /** Whether the configuration had been confirmed within the last second when it was read. */
 export function isRecentlyConfirmed({ evidence, readAtMs }: DecisionBasis): boolean {
     return confirmedAgeMs(evidence, readAtMs) <= confirmationMs;
