Say in the chat interface's requestEnded on what a final refusal was decided

Change: the line of a 3xx or 4xx but 408, 421 and 429 gets `decidedOn`: revision, ages, host, digest of the key and whether it is known, the workspace, the service that was named, and the size and bound of a body that is too large. The configuration keeps since when this process has had it. No answer changes.

--- a/packages/entry/src/callers/body.ts
+++ b/packages/entry/src/callers/body.ts
@@ -18,19 +18,26 @@
 } as const satisfies Record<Exclude<WholeBody["kind"], "read">, FailedBody>;
 
 export async function readBody(
-    { held }: Exchange,
+    exchange: Exchange,
     { maxBodyBytes, requestReadTimeoutMs }: Settings["limits"],
 ): Promise<BodyResult> {
-    const body: WholeBody = await held.readWhole({ maxBytes: maxBodyBytes, limitMs: requestReadTimeoutMs });
-    return body.kind === "read" ? body : results[body.kind];
+    const body: WholeBody = await exchange.held.readWhole({ maxBytes: maxBodyBytes, limitMs: requestReadTimeoutMs });
+    return body.kind === "read" ? body : failedBody(exchange, body);
 }
 
 export async function readText(
-    { held }: Exchange,
+    exchange: Exchange,
     { maxBodyBytes, requestReadTimeoutMs }: Settings["limits"],
 ): Promise<TextResult> {
-    const body: TextBody = await held.readText({ maxBytes: maxBodyBytes, limitMs: requestReadTimeoutMs });
-    return body.kind === "read" ? body : results[body.kind];
+    const body: TextBody = await exchange.held.readText({ maxBytes: maxBodyBytes, limitMs: requestReadTimeoutMs });
+    return body.kind === "read" ? body : failedBody(exchange, body);
+}
+
+function failedBody(exchange: Exchange, body: Exclude<WholeBody, { readonly kind: "read" }>): FailedBody {
+    if (body.kind === "tooLarge") {
+        exchange.bodyBytes = body.bytes;
+    }
+    return results[body.kind];
 }
 
 /** Parses JSON; returns `undefined` when `text` is not valid JSON. */
--- a/packages/entry/src/callers/callerListener.ts
+++ b/packages/entry/src/callers/callerListener.ts
@@ -123,6 +123,8 @@
     const requestId = typeof receivedId === "string" && receivedId.length <= 128 ? receivedId : randomUUID();
     const span = tracing.startServerSpan(`${request.method} ${path}`, request.headers);
     response.setHeader(headerNames.requestId, requestId);
+    const { snapshot, confirmedByTable, confirmedAtMs, inForceSinceMs } = configuration.latest();
+    const arrivedAtMs = timer.nowMs();
     return {
         requestId,
         request,
@@ -130,8 +132,12 @@
         held,
         path,
         span,
-        arrivedAtMs: timer.nowMs(),
-        snapshot: configuration.latest().snapshot,
+        arrivedAtMs,
+        snapshot,
+        configurationAge: {
+            ageMs: Math.round(arrivedAtMs - inForceSinceMs),
+            confirmedAgeMs: confirmedByTable ? Math.round(arrivedAtMs - confirmedAtMs) : undefined,
+        },
         service: "none",
     };
 }
@@ -145,6 +151,7 @@
     if (workspace === undefined) {
         return sendError(exchange, "wrongKey");
     }
+    exchange.workspace = workspace;
     const handler = handlerOf(exchange);
     return handler === undefined ? sendError(exchange, "unknownPath") : handler(exchange, workspace, context);
 }
--- a/packages/entry/src/callers/chat.ts
+++ b/packages/entry/src/callers/chat.ts
@@ -41,6 +41,7 @@
         return sendError(exchange, "invalidRequest", { detail: formatFaults(checked.faults) });
     }
     const call = checked.value;
+    exchange.askedFor = call.model;
     const service = exchange.snapshot.services.get(call.model);
     if (service?.kind !== "model") {
         return sendError(exchange, "unknownModel", { detail: `Asked for: ${call.model}.` });
--- a/packages/entry/src/callers/exchange.ts
+++ b/packages/entry/src/callers/exchange.ts
@@ -5,6 +5,7 @@
 import { type Span } from "@rattanquay/telemetry";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type ProcessContext } from "../processContext";
+import { describeDecision } from "./decidedOn";
 
 export type Exchange = {
     readonly requestId: string;
@@ -16,8 +17,24 @@
     readonly span: Span;
     readonly arrivedAtMs: number;
     readonly snapshot: Snapshot;
+    /** How old the snapshot was when it was read for the request. */
+    readonly configurationAge: ConfigurationAge;
     /** The service's name once it is known, for metrics and logs; `none` before. */
     service: string;
+    /** The workspace of the key, once that is known. */
+    workspace?: string;
+    /** The service that the caller named, whether or not it is declared. */
+    askedFor?: string;
+    /** The size of a body that is too large: as announced, or as far as it was read. */
+    bodyBytes?: number;
+};
+
+/** In milliseconds. */
+export type ConfigurationAge = {
+    /** For how long this process had had it. */
+    readonly ageMs: number;
+    /** How long ago the table had last answered that there is none newer; undefined if it never had. */
+    readonly confirmedAgeMs: number | undefined;
 };
 
 /** How a request ended. Each request has exactly one outcome. */
@@ -46,7 +63,7 @@
 
 /** Writes the log line and the metrics of a finished request, and ends its span. */
 export function recordOutcome(exchange: Exchange, outcome: RequestOutcome, processContext: ProcessContext): void {
-    const { log, metrics, timer } = processContext;
+    const { log, metrics, timer, settings } = processContext;
     const { requestId, span, service, path, arrivedAtMs } = exchange;
     metrics.requests.inc({ service, ending: outcome.ending, code: outcome.code });
     span.setAttributes({ service, ending: outcome.ending, code: outcome.code, requestId });
@@ -58,5 +75,6 @@
         path,
         ...outcome,
         durationMs: Math.round(timer.nowMs() - arrivedAtMs),
+        decidedOn: describeDecision(exchange, settings.limits.maxBodyBytes),
     });
 }
--- a/packages/entry/src/callers/plain.ts
+++ b/packages/entry/src/callers/plain.ts
@@ -32,6 +32,7 @@
 ): Promise<RequestOutcome> {
     const { settings } = context.processContext;
     const [, , name = "", ...pathSegments] = exchange.path.split("/");
+    exchange.askedFor = name;
     const service = exchange.snapshot.services.get(name);
     if (service?.kind !== "plain") {
         return sendError(exchange, "unknownModel", { detail: `Asked for: ${name}.` });
--- a/packages/entry/src/config/configTask.ts
+++ b/packages/entry/src/config/configTask.ts
@@ -15,6 +15,8 @@
     readonly confirmedByTable: boolean;
     readonly snapshot: Snapshot;
     readonly confirmedAtMs: number;
+    /** When this process got the snapshot. */
+    readonly inForceSinceMs: number;
 };
 
 export type ConfigTask = {
@@ -33,13 +35,15 @@
         confirmedByTable: false,
         snapshot: emptySnapshot,
         confirmedAtMs: 0,
+        inForceSinceMs: 0,
     });
     let tableWasDown = false;
 
     const publishNewer = (received: Snapshot, isFromTable: boolean): void => {
-        const { isKnown, confirmedByTable, snapshot, confirmedAtMs } = source.latest();
+        const { isKnown, confirmedByTable, snapshot, confirmedAtMs, inForceSinceMs } = source.latest();
         const newer = newerSnapshot(snapshot, received);
-        if (newer !== snapshot || !isKnown) {
+        const isNew = newer !== snapshot || !isKnown;
+        if (isNew) {
             log.info("configInForce", { revision: newer.revision, highestTicket: newer.highestTicket });
             metrics.configRevision.set(newer.revision);
         }
@@ -48,6 +52,7 @@
             confirmedByTable: confirmedByTable || isFromTable,
             snapshot: newer,
             confirmedAtMs: isFromTable ? timer.nowMs() : confirmedAtMs,
+            inForceSinceMs: isNew ? timer.nowMs() : inForceSinceMs,
         });
     };
 
