Log and count the requests that the HTTP server answers by itself

What Node's server cannot read it answers with 400, 408, 413 or 431, past requestEnded and every counter, so that such answers to callers could not be told from none. A clientError listener shared by both interfaces now answers in its place, as it would, with a bounded line (requestUnparsed; requestUnreadable at the chat interface) and a counter by fault and status. The line names what was received, and how the last request on the connection ended: that tells faults of framing here from those of callers.

--- a/packages/entry/src/callers/callerListener.ts
+++ b/packages/entry/src/callers/callerListener.ts
@@ -88,8 +88,9 @@
         }
         serve(request, response, entry.isInExcess).catch(error => processContext.onFatalError("callerListener", error));
     });
-    const gate: CallerGate = makeCallerGate(server, makeCallerConnections(processContext.timer.nowMs), memory);
-    const connections = trackConnections(server, "callers", processContext);
+    const callerConnections = makeCallerConnections(processContext.timer.nowMs);
+    const gate: CallerGate = makeCallerGate(server, callerConnections, memory);
+    const connections = trackConnections(server, "callers", processContext, callerConnections);
     return {
         port: portOf(server),
         inFlight: connections.running,
--- a/packages/entry/src/connectionTracker.ts
+++ b/packages/entry/src/connectionTracker.ts
@@ -5,10 +5,10 @@
  * graceful stop would cut off callers that read slowly. A caller that stops reading is disconnected after
  * `callerStallTimeoutMs`; until then it makes this process hold at most one chunk beyond the socket's buffer.
  */
+import { answerUnparsedRequests, type CallerConnections } from "@rattanquay/peer";
 import { callerErrors, errorBody, headerNames } from "@rattanquay/schema";
 import { randomUUID } from "node:crypto";
 import { type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
-import { type Duplex } from "node:stream";
 import { type ProcessContext } from "./processContext";
 
 export type ConnectionTracker = {
@@ -31,7 +31,13 @@
 
 const checksPerStallTimeout = 4;
 
-export function trackConnections(server: Server, listener: string, context: ProcessContext): ConnectionTracker {
+/** `connections` are those of callers; without them, less is logged of a request that cannot be read. */
+export function trackConnections(
+    server: Server,
+    listener: string,
+    context: ProcessContext,
+    connections?: CallerConnections,
+): ConnectionTracker {
     const { timer, settings: { limits } } = context;
     const running = new Map<ServerResponse, FlushProgress>();
     const gauge = context.metrics.inFlight.labels({ listener });
@@ -54,7 +60,7 @@
             }
         });
     });
-    server.on("clientError", (error: Error, socket: Duplex) => answerRequestError(error, socket, listener, context));
+    watchUnparsedRequests(server, listener, context, connections);
     server.on("tlsClientError", () => countConnectionFault("tlsHandshake", listener, context));
     const cancel = timer.every(limits.callerStallTimeoutMs / checksPerStallTimeout, () => {
         running.forEach((progress, response) => closeIfStalled(response, progress, listener, context));
@@ -99,19 +105,37 @@
     }
 }
 
-/** Answers a request that could not be parsed, with the same error body and headers as other refusals. */
-function answerRequestError(error: Error, socket: Duplex, listener: string, context: ProcessContext): void {
-    const { code = "" } = error as NodeJS.ErrnoException;
-    if (code === "ECONNRESET" || !socket.writable) {
-        socket.destroy();
-        return;
-    }
-    const fault = requestErrorCodes[code as keyof typeof requestErrorCodes] ?? "malformedRequest";
-    const requestId = randomUUID();
-    countConnectionFault(fault, listener, context);
-    context.log.warn("requestUnreadable", { listener, requestId, code: fault, cause: code });
-    const { status, ending } = callerErrors[fault];
-    const body = errorBody(fault, requestId);
+/** Answers requests that could not be parsed, with the same error body and headers as other refusals. */
+function watchUnparsedRequests(
+    server: Server,
+    listener: string,
+    context: ProcessContext,
+    connections: CallerConnections | undefined,
+): void {
+    let requestId = "";
+    answerUnparsedRequests(server, connections, context.timer.nowMs, {
+        onUnparsed: ({ fault }) => {
+            requestId = randomUUID();
+            const code = codeOfFault(fault);
+            countConnectionFault(code, listener, context);
+            context.metrics.unparsedRequests.inc({ listener, fault, status: String(callerErrors[code].status) });
+            return unparsedAnswer(code, requestId);
+        },
+        onLine: ({ fault, ...facts }) => {
+            const code = codeOfFault(fault);
+            const { status } = callerErrors[code];
+            context.log.warn("requestUnreadable", { ...facts, listener, requestId, code, status, cause: fault });
+        },
+    });
+}
+
+function codeOfFault(fault: string): keyof typeof callerErrors {
+    return requestErrorCodes[fault as keyof typeof requestErrorCodes] ?? "malformedRequest";
+}
+
+function unparsedAnswer(code: keyof typeof callerErrors, requestId: string): string {
+    const { status, ending } = callerErrors[code];
+    const body = errorBody(code, requestId);
     const head = [
         `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
         "content-type: application/json",
@@ -120,7 +144,7 @@
         `${headerNames.outcome}: ${ending}`,
         "connection: close",
     ];
-    socket.end(`${head.join("\r\n")}\r\n\r\n${body}`);
+    return `${head.join("\r\n")}\r\n\r\n${body}`;
 }
 
 function countConnectionFault(kind: string, listener: string, { metrics }: ProcessContext): void {
--- a/packages/gateway/src/listeners/callerListener.ts
+++ b/packages/gateway/src/listeners/callerListener.ts
@@ -1,6 +1,12 @@
 /** The listener for caller requests. */
-import { type CallerConnection, type CallerMemory, makeCallerConnections, makeCallerGate } from "@rattanquay/peer";
-import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import {
+    answerUnparsedRequests,
+    type CallerConnection,
+    type CallerMemory,
+    makeCallerConnections,
+    makeCallerGate,
+} from "@rattanquay/peer";
+import { createServer, type IncomingMessage, type ServerResponse, STATUS_CODES } from "node:http";
 import { Server as NetServer } from "node:net";
 import { type ClusterState } from "../clusterState";
 import { errorFields } from "../errorFields";
@@ -60,6 +66,13 @@
     server.headersTimeout = defaultHeaderTimeoutMs;
     server.keepAliveTimeout = defaultIdleTimeoutMs;
     const gate = makeCallerGate(server, connections, callerMemory);
+    answerUnparsedRequests(server, connections, timer.nowMs, {
+        onUnparsed: ({ status, fault }) => {
+            metrics.unparsedRequests.inc({ fault, status: String(status) });
+            return unparsedAnswer(status);
+        },
+        onLine: unparsed => log.warn("requestUnparsed", unparsed),
+    });
     const cancel = timer.every(timeoutUpdateEveryMs, () => {
         const bounds = clusterState.configuration()?.bounds;
         if (bounds !== undefined) {
@@ -94,3 +107,8 @@
         },
     };
 }
+
+/** The answer of Node's own server, with its end marked. */
+function unparsedAnswer(status: number): string {
+    return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+}
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -139,6 +139,13 @@
 /** Unusable input from other parties, and internal errors. */
 function faultMetrics(registers: Registry[]) {
     return {
+        unparsedRequests: new Counter({
+            name: "rattanquay_gateway_unparsed_requests_total",
+            help:
+                "Requests that the HTTP server could not read, by the code of the fault and the status of the answer.",
+            labelNames: ["fault", "status"],
+            registers,
+        }),
         unreadableAnswers: new Counter({
             name: "rattanquay_gateway_unreadable_answers_total",
             help: "Answers of upstreams whose head or framing could not be read; each ended its attempt.",
--- a/packages/lab/src/__tests__/answersOutsideTheLog.test.ts
+++ b/packages/lab/src/__tests__/answersOutsideTheLog.test.ts
@@ -9,12 +9,13 @@
 import * as assert from "uvu/assert";
 import { callerKey, defaultSpec, type EmbeddedCluster, startEmbeddedCluster } from "../cluster";
 
-type Line = { readonly event: string; readonly requestId: unknown };
+type Fields = Readonly<Record<string, unknown>>;
+type Line = { readonly event: string; readonly requestId: unknown; readonly fields: Fields };
 
 let cluster: EmbeddedCluster;
 const lines: Line[] = [];
-const note = (event: string, fields: Readonly<Record<string, unknown>> = {}): void => {
-    lines.push({ event, requestId: fields["requestId"] });
+const note = (event: string, fields: Fields = {}): void => {
+    lines.push({ event, requestId: fields["requestId"], fields });
 };
 const log: Log = { ...silentLog, info: note, warn: note };
 
@@ -78,6 +79,16 @@
     assert.equal(statusLinesOf(answer), ["HTTP/1.1 200"]);
 });
 
+test("an unreadable request has a line that says how the one before it ended", async () => {
+    const answer = await play(post({ max_tokens: 3 }), unreadable, 1_500);
+    assert.equal(statusLinesOf(answer), ["HTTP/1.1 200", "HTTP/1.1 400"]);
+    const line = lines.findLast(({ event }) => event === "requestUnreadable");
+    assert.match(answer, `x-request-id: ${String(line?.requestId)}`);
+    const { code, status, cause, connectionRequests, last } = line!.fields;
+    assert.equal([code, status, cause, connectionRequests], ["malformedRequest", 400, "HPE_INVALID_METHOD", 1]);
+    assert.equal(last, { status: 200, wasAnswerSent: true, wasBodyRead: true, closes: false });
+});
+
 test("MIXED: unreadable bytes behind a running stream put another answer into it", async () => {
     const answer = await play(post({ max_tokens: 100, stream: true }), unreadable);
     assert.equal(statusLinesOf(answer), ["HTTP/1.1 200"]);
--- a/packages/peer/src/callers/callerConnections.ts
+++ b/packages/peer/src/callers/callerConnections.ts
@@ -17,10 +17,34 @@
     readonly unanswered: () => number;
 };
 
+/** What is known of a connection, for the log. */
+export type ConnectionFacts = {
+    readonly connectionAgeMs: number;
+    readonly connectionRequests: number;
+    readonly unanswered: number;
+    /** Whether the head of an answer was sent that is not complete. */
+    readonly hasBegunAnswer: boolean;
+    /** Whether the body of a request that has no whole answer yet is not complete. */
+    readonly isReadingBody: boolean;
+    /** How the last request that has ended did so; undefined if none has. */
+    readonly last: LastRequest | undefined;
+};
+
+type LastRequest = {
+    /** 0 if no head of an answer was sent. */
+    readonly status: number;
+    readonly wasAnswerSent: boolean;
+    readonly wasBodyRead: boolean;
+    /** Whether its answer said that the connection closes. */
+    readonly closes: boolean;
+};
+
 export type CallerConnections = {
     readonly add: (socket: Socket) => void;
     readonly noteRequest: (request: IncomingMessage, response: ServerResponse) => CallerConnection;
     readonly count: () => number;
+    /** Undefined for a connection that is not tracked. */
+    readonly factsOf: (socket: Socket) => ConnectionFacts | undefined;
     /** Unanswered requests that came behind another one on their connection. */
     readonly pipelined: () => number;
     /**
@@ -40,6 +64,7 @@
     readonly openedAtMs: number;
     requests: number;
     readonly running: Set<ServerResponse>;
+    last: LastRequest | undefined;
     /** How many bytes had been received when the last request was complete; any beyond them begin another. */
     bytesServed: number;
     /** When it was opened, or its last answer ended. */
@@ -59,6 +84,7 @@
             openedAtMs,
             requests: 0,
             running: own,
+            last: undefined,
             bytesServed: 0,
             idleSinceMs: openedAtMs,
             unanswered: () => own.size,
@@ -90,6 +116,7 @@
                 running.delete(response);
                 pipelined -= connection.running.size > 0 ? 1 : 0;
                 connection.idleSinceMs = nowMs();
+                connection.last = describeEnd(request, response);
                 if (request.complete) {
                     connection.bytesServed = socket.bytesRead;
                 }
@@ -98,6 +125,10 @@
             return connection;
         },
         count: () => connections.size,
+        factsOf: socket => {
+            const connection = connections.get(socket);
+            return connection === undefined ? undefined : describe(connection, nowMs());
+        },
         pipelined: () => pipelined,
         closeLongestIdle: () => {
             const [idlest] = [...connections].filter(([, { running: own }]) => own.size === 0).sort(([, a], [, b]) =>
@@ -123,3 +154,24 @@
         },
     };
 }
+
+function describe({ openedAtMs, requests, running, last }: TrackedConnection, nowMs: number): ConnectionFacts {
+    return {
+        connectionAgeMs: Math.round(nowMs - openedAtMs),
+        connectionRequests: requests,
+        unanswered: running.size,
+        hasBegunAnswer: [...running].some(({ headersSent }) => headersSent),
+        isReadingBody: [...running].some(({ req }) => !req.complete),
+        last,
+    };
+}
+
+function describeEnd({ complete }: IncomingMessage, response: ServerResponse): LastRequest {
+    const { headersSent, statusCode, writableFinished, shouldKeepAlive } = response;
+    return {
+        status: headersSent ? statusCode : 0,
+        wasAnswerSent: writableFinished,
+        wasBodyRead: complete,
+        closes: !shouldKeepAlive,
+    };
+}
--- a/packages/peer/src/callers/index.ts
+++ b/packages/peer/src/callers/index.ts
@@ -1,6 +1,11 @@
 /** Holds bytes for callers within the budget of the process. */
 export { type CallerBody } from "./callerBody";
-export { type CallerConnection, type CallerConnections, makeCallerConnections } from "./callerConnections";
+export {
+    type CallerConnection,
+    type CallerConnections,
+    type ConnectionFacts,
+    makeCallerConnections,
+} from "./callerConnections";
 export { type CallerGate, makeCallerGate, type RequestEntry } from "./callerGate";
 export {
     type CallerEndReason,
@@ -13,3 +18,4 @@
     type WholeBody,
 } from "./callerMemory";
 export { type RequestBody } from "./segments";
+export { answerUnparsedRequests, maxLinesPerSecond, type UnparsedRequest } from "./unparsedRequests";
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -4,6 +4,7 @@
  */
 export { type ByteCollector, makeByteCollector } from "./byteCollector";
 export {
+    answerUnparsedRequests,
     type CallerBody,
     type CallerConnection,
     type CallerConnections,
@@ -16,9 +17,11 @@
     makeCallerConnections,
     makeCallerGate,
     makeCallerMemory,
+    maxLinesPerSecond,
     type RequestBody,
     type RequestEntry,
     type TextBody,
+    type UnparsedRequest,
     type WholeBody,
 } from "./callers";
 export { dial, type PeerListener, startPeerListener } from "./connections";
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -79,6 +79,13 @@
             labelNames: ["listener", "kind"],
             registers,
         }),
+        unparsedRequests: new Counter({
+            name: "rattanquay_unparsed_requests_total",
+            help:
+                "Requests that the HTTP server could not read, by the code of the fault and the status of the answer.",
+            labelNames: ["listener", "fault", "status"],
+            registers,
+        }),
     };
 }
 
