Let max_header_bytes of the configuration decide how large a head may be

Callers got 431 from Node's HTTP server for heads over its own 16 KiB, within a larger bound of the configuration, without a line; and a bound below 16 KiB had no effect. The configuration's bound was decoded and never used.

The server now reads heads of up to 64 KiB, a ceiling above the bounds of the deployments (16 KiB), and admission refuses what is over the configuration's bound with 431 headTooLarge, logged with size and bound. The count leaves out spaces around values, so that it is never more than what the caller sent: a caller within the bound is not refused. The stand-in of an upstream reads as large heads; with its 16 KiB a head of 20 KiB ended as 502.

--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -9,6 +9,7 @@
 import { type CallerAnswer, type CallerResponse, makeCallerAnswer } from "./callerAnswer";
 import { type ExchangeOutcome, runExchange } from "./exchange";
 import { type ExchangeDependencies } from "./exchangeDependencies";
+import { countHeadBytes } from "./headSize";
 import { type Refusal, refusals, refuse } from "./refusals";
 
 type Arrival = {
@@ -45,6 +46,12 @@
         refuseArrival(arrival, "noConfiguration", dependencies, undefined);
         return;
     }
+    const headBytes = countHeadBytes(request);
+    const { maxHeaderBytes } = routes.config.bounds;
+    if (headBytes > maxHeaderBytes) {
+        refuseArrival(arrival, "headTooLarge", dependencies, routes, { headBytes, maxHeadBytes: maxHeaderBytes });
+        return;
+    }
     const route = routes.findRoute(request.headers.host, request.url ?? "/");
     if (route === undefined) {
         refuseArrival(arrival, "unknownRoute", dependencies, routes);
@@ -121,14 +128,20 @@
     refusal: Refusal,
     dependencies: ExchangeDependencies,
     routes: RouteTable | undefined,
+    measured?: RoutingResult["measured"],
 ): void {
     const { request, answer } = arrival;
     refuse(answer, request, refusal, dependencies.context.ports.requestCodec, startRetryAfterMs);
     const { status, ending } = refusals[refusal];
-    recordEnd(arrival, { ending, code: refusal, status }, dependencies, { version: routes?.version });
+    recordEnd(arrival, { ending, code: refusal, status }, dependencies, { version: routes?.version, measured });
 }
 
-type RoutingResult = { readonly route?: ServingRoute; readonly version: number | undefined };
+type RoutingResult = {
+    readonly route?: ServingRoute;
+    readonly version: number | undefined;
+    /** What was over a bound, and the bound. */
+    readonly measured?: { readonly headBytes: number; readonly maxHeadBytes: number } | undefined;
+};
 
 function recordEnd(
     arrival: Arrival,
@@ -146,6 +159,7 @@
         route: routing.route?.name,
         configVersion: routing.version,
         ...outcome,
+        ...routing.measured,
         durationMs: Math.round(timer.nowMs() - arrivedAtMs),
         ...stopFields(arrival, dependencies),
     });
--- a/packages/gateway/src/exchange/refusals.ts
+++ b/packages/gateway/src/exchange/refusals.ts
@@ -38,6 +38,7 @@
     unknownRoute: { status: 404, ending: "notRun", message: "No route matches the host and path." },
     bodyTimeout: { status: 408, ending: "notRun", message: "The body did not arrive in time." },
     bodyTooLarge: { status: 413, ending: "notRun", message: "The body is larger than allowed." },
+    headTooLarge: { status: 431, ending: "notRun", message: "The request line and headers are larger than allowed." },
     unknownOutcome: { status: 502, ending: "unknown", message: "It may have run, and no whole answer came." },
     processStopped: {
         status: 502,
--- a/packages/gateway/src/listeners/callerListener.ts
+++ b/packages/gateway/src/listeners/callerListener.ts
@@ -32,6 +32,8 @@
 
 const defaultHeaderTimeoutMs = 3_000;
 const defaultIdleTimeoutMs = 15_000;
+/** The HTTP server's own bound on a head. The configuration's bound decides; one above this has no effect. */
+const maxHeadBytesCeiling = 65_536;
 /** How often Node checks for connections whose headers are overdue. */
 const connectionsCheckingInterval = 500;
 /** How often timeouts are updated from the current configuration. */
@@ -47,7 +49,8 @@
     const { settings: { listeners: { callers } }, metrics, timer, log } = context;
     const connections = makeCallerConnections(timer.nowMs);
     let isDraining = false;
-    const server = createServer({ connectionsCheckingInterval, requireHostHeader: false }, (request, response) => {
+    const options = { connectionsCheckingInterval, requireHostHeader: false, maxHeaderSize: maxHeadBytesCeiling };
+    const server = createServer(options, (request, response) => {
         const entry = gate.enter(request, response);
         if (entry.kind === "closed") {
             return;
--- a/packages/lab/src/usersPlatform/upstreamStandIn.ts
+++ b/packages/lab/src/usersPlatform/upstreamStandIn.ts
@@ -30,6 +30,9 @@
     readonly close: () => void;
 };
 
+/** Above the bounds of configurations, as Node's usual one is not. */
+const maxHeaderSize = 131_072;
+
 /** Answers 200 with a valid seal. */
 export const validAnswer: AnswerHandler = (request, response) => {
     response.writeHead(200, { ...sealHeaders(request), "content-type": "text/plain" });
@@ -63,7 +66,7 @@
     let crashes = 0;
     let isDown = false;
     let isClosed = false;
-    const server = createServer((request, response) => {
+    const server = createServer({ maxHeaderSize }, (request, response) => {
         const chunks: Buffer[] = [];
         request.on("data", (chunk: Buffer) => chunks.push(chunk));
         request.on("end", () => {
