Answer requests that run before a fault of the bytes behind them

A caller whose request was running got 400, or after the header time limit 408, if bytes that can't be read, or an unfinished head, followed it on the connection. 408 is a promise that the request has not run; an upstream had it. The chat interface said "notRun" in the same case. Cause: the HTTP server's answer to the bytes behind goes out first if no answer has begun.

Now nothing is sent for such bytes. The requests before them are answered, the last answer says that the connection closes, and it closes then. The operators' listener tracks its connections for that too. A line is written once for each connection.

--- a/packages/entry/src/connectionTracker.ts
+++ b/packages/entry/src/connectionTracker.ts
@@ -5,7 +5,7 @@
  * graceful stop would cut off callers that read slowly. A caller that stops reading is disconnected after
  * `callerStallTimeoutMs`; until then it makes this process hold at most one chunk beyond the socket's buffer.
  */
-import { answerUnparsedRequests, type CallerConnections } from "@rattanquay/peer";
+import { answerUnparsedRequests, type CallerConnections, makeCallerConnections } from "@rattanquay/peer";
 import { callerErrors, errorBody, headerNames } from "@rattanquay/schema";
 import { randomUUID } from "node:crypto";
 import { type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
@@ -31,12 +31,12 @@
 
 const checksPerStallTimeout = 4;
 
-/** `connections` are those of callers; without them, less is logged of a request that cannot be read. */
+/** `connections` are those that the listener tracks already, if it does. */
 export function trackConnections(
     server: Server,
     listener: string,
     context: ProcessContext,
-    connections?: CallerConnections,
+    connections = trackOwn(server, context),
 ): ConnectionTracker {
     const { timer, settings: { limits } } = context;
     const running = new Map<ServerResponse, FlushProgress>();
@@ -82,6 +82,12 @@
     };
 }
 
+function trackOwn(server: Server, { timer }: ProcessContext): CallerConnections {
+    const connections = makeCallerConnections(timer.nowMs);
+    server.prependListener("request", connections.noteRequest);
+    return connections;
+}
+
 /** Destroys a response that has bytes waiting to be sent but has sent none for `callerStallTimeoutMs`. */
 function closeIfStalled(
     response: ServerResponse,
@@ -110,7 +116,7 @@
     server: Server,
     listener: string,
     context: ProcessContext,
-    connections: CallerConnections | undefined,
+    connections: CallerConnections,
 ): void {
     let requestId = "";
     answerUnparsedRequests(server, connections, context.timer.nowMs, {
--- a/packages/lab/src/__tests__/answersOutsideTheLog.test.ts
+++ b/packages/lab/src/__tests__/answersOutsideTheLog.test.ts
@@ -92,11 +92,12 @@
 test("MIXED: unreadable bytes behind a running stream put another answer into it", async () => {
     const answer = await play(post({ max_tokens: 100, stream: true }), unreadable);
     assert.equal(statusLinesOf(answer), ["HTTP/1.1 200"]);
+    assert.match(answer, "data: [DONE]");
 });
 
 test("unreadable bytes behind a running call make the answer say that the call has not run", async () => {
     const answer = await play(post({ max_tokens: 100 }), unreadable, 300);
-    assert.equal(statusLinesOf(answer).filter(line => line !== "HTTP/1.1 200"), []);
+    assert.equal(statusLinesOf(answer), ["HTTP/1.1 200"]);
 });
 
 test.run();
--- a/packages/peer/src/callers/__tests__/unparsedRequests.test.ts
+++ b/packages/peer/src/callers/__tests__/unparsedRequests.test.ts
@@ -141,12 +141,33 @@
     },
 ];
 
+test("REFUSED: bytes behind a request that runs get an answer in place of it", async () => {
+    const answerLate: Respond = response => void sleep(systemTimer, 4 * settleMs).then(() => response.end("whole"));
+    const { received, lines } = await play([get, "HELLO\r\n\r\n", "HELLO\r\n\r\n"], answerLate);
+    assert.match(received, /^HTTP\/1.1 200 OK\r\n[^]*Connection: close\r\n[^]*whole$/);
+    assert.equal(lines.map(({ status, isAnswered, unanswered }) => [status, isAnswered, unanswered]), [[
+        400,
+        false,
+        1,
+    ]]);
+});
+
+test("MIXED: bytes behind an answer that has begun get another one in the middle of it", async () => {
+    const answerInParts: Respond = response => {
+        response.write("first");
+        void sleep(systemTimer, 4 * settleMs).then(() => response.end("last"));
+    };
+    const { received } = await play([get, "HELLO\r\n\r\n"], answerInParts);
+    assert.match(received, /^HTTP\/1.1 200 OK\r\n[^]*first\r\n4\r\nlast\r\n0\r\n\r\n$/);
+});
+
 for (const { name, parts, respond, expected } of cases) {
     test(`${name} gets ${expected.status} and a line`, async () => {
         const { received, lines } = await play(parts, respond);
         assert.is(lines.length, 1);
         const [line] = lines;
         assert.equal({ ...line, ...expected }, line);
+        assert.ok(line!.isAnswered);
         assert.is(line!.leftOut, 0);
         assert.match(received, new RegExp(`HTTP/1.1 ${expected.status} Fault\r\nConnection: close`));
     });
--- a/packages/peer/src/callers/callerConnections.ts
+++ b/packages/peer/src/callers/callerConnections.ts
@@ -43,8 +43,10 @@
     readonly add: (socket: Socket) => void;
     readonly noteRequest: (request: IncomingMessage, response: ServerResponse) => CallerConnection;
     readonly count: () => number;
-    /** Undefined for a connection that is not tracked. */
-    readonly factsOf: (socket: Socket) => ConnectionFacts | undefined;
+    /** A connection that is not tracked yet is from now on. */
+    readonly factsOf: (socket: Socket) => ConnectionFacts;
+    /** Closes the connection as soon as its requests are answered. */
+    readonly closeWhenAnswered: (socket: Socket) => void;
     /** Unanswered requests that came behind another one on their connection. */
     readonly pipelined: () => number;
     /**
@@ -65,6 +67,7 @@
     requests: number;
     readonly running: Set<ServerResponse>;
     last: LastRequest | undefined;
+    closesWhenAnswered: boolean;
     /** How many bytes had been received when the last request was complete; any beyond them begin another. */
     bytesServed: number;
     /** When it was opened, or its last answer ended. */
@@ -85,6 +88,7 @@
             requests: 0,
             running: own,
             last: undefined,
+            closesWhenAnswered: false,
             bytesServed: 0,
             idleSinceMs: openedAtMs,
             unanswered: () => own.size,
@@ -98,6 +102,10 @@
         return connection;
     };
     const closeIfIdle = (socket: Socket, connection: TrackedConnection): void => {
+        if (connection.closesWhenAnswered && connection.running.size === 0) {
+            socket.destroySoon();
+            return;
+        }
         if (isClosing && connection.running.size === 0 && socket.bytesRead === connection.bytesServed) {
             socket.destroy();
         }
@@ -125,9 +133,14 @@
             return connection;
         },
         count: () => connections.size,
-        factsOf: socket => {
-            const connection = connections.get(socket);
-            return connection === undefined ? undefined : describe(connection, nowMs());
+        factsOf: socket => describe(connections.get(socket) ?? add(socket), nowMs()),
+        closeWhenAnswered: socket => {
+            const connection = connections.get(socket) ?? add(socket);
+            connection.closesWhenAnswered = true;
+            [...connection.running].filter(({ headersSent }) => !headersSent).slice(-1).forEach(response => {
+                response.shouldKeepAlive = false;
+            });
+            closeIfIdle(socket, connection);
         },
         pipelined: () => pipelined,
         closeLongestIdle: () => {
--- a/packages/peer/src/callers/unparsedRequests.ts
+++ b/packages/peer/src/callers/unparsedRequests.ts
@@ -7,8 +7,11 @@
 import { type CallerConnections, type ConnectionFacts } from "./callerConnections";
 
 /** A request that could not be read. Holds none of its bytes. */
-export type UnparsedRequest = Partial<ConnectionFacts> & {
+export type UnparsedRequest = ConnectionFacts & {
+    /** Of the answer, or of the one that would have been sent. */
     readonly status: number;
+    /** False if requests before it still run. */
+    readonly isAnswered: boolean;
     /** The code of the parser's or the server's error. */
     readonly fault: string;
     /** Received on the connection so far. */
@@ -33,14 +36,19 @@
     [timeoutFault]: 408,
 };
 
-/** Takes over the answers to unreadable requests. Without `connections`, nothing is known of their connection. */
+/**
+ * Takes over the answers to unreadable requests. Behind requests that still run there is none: their caller would take it for
+ * the answer to the first of them, which may have run. The connection closes once they are answered.
+ */
 export function answerUnparsedRequests(
     server: Server,
-    connections: Pick<CallerConnections, "factsOf"> | undefined,
+    connections: Pick<CallerConnections, "factsOf" | "closeWhenAnswered">,
     nowMs: () => number,
     { onUnparsed, onLine }: UnparsedRequestEvents,
 ): void {
     const bound = makeLineBound(nowMs);
+    /** Connections that close once their requests are answered; the server reports more faults on them. */
+    const waiting = new WeakSet<Socket>();
     server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
         const { code: fault = "" } = error;
         // Errors of the network end the connection, and nothing can be answered.
@@ -48,23 +56,34 @@
             socket.destroy();
             return;
         }
-        const unparsed: UnparsedRequest = {
-            status: statusByFault[fault] ?? malformedStatus,
-            fault,
-            connectionBytes: socket.bytesRead,
-            ...connections?.factsOf(socket),
-        };
+        if (waiting.has(socket)) {
+            return;
+        }
+        const facts = connections.factsOf(socket);
+        const isAnswered = !hasOthersRunning(facts);
+        const status = statusByFault[fault] ?? malformedStatus;
+        const unparsed: UnparsedRequest = { ...facts, status, fault, isAnswered, connectionBytes: socket.bytesRead };
         const text = onUnparsed(unparsed);
         const leftOut = bound.take();
         if (leftOut !== undefined) {
             onLine({ ...unparsed, leftOut });
         }
-        endWith(socket, text, unparsed);
+        if (isAnswered) {
+            endWith(socket, text, facts);
+            return;
+        }
+        waiting.add(socket);
+        connections.closeWhenAnswered(socket);
     });
 }
 
-/** An answer whose head has been sent must not be followed by another one, and must not look complete. */
-function endWith(socket: Socket, text: string, { hasBegunAnswer = false }: UnparsedRequest): void {
+/** Whether requests came before that are complete and have no whole answer yet. */
+function hasOthersRunning({ unanswered, isReadingBody }: ConnectionFacts): boolean {
+    return unanswered > (isReadingBody ? 1 : 0);
+}
+
+/** An answer that has begun must not be followed by another one, and must not look complete. */
+function endWith(socket: Socket, text: string, { hasBegunAnswer }: ConnectionFacts): void {
     if (hasBegunAnswer) {
         socket.resetAndDestroy();
         return;
