Run no request that its caller sent behind an answer that closes the connection

A request in the same block as one that was refused (401, 404, 413) before its body was read was passed on, and its connection closed without an answer to it (LOST). The server goes on parsing what it has received, and the request entered as any other.

The gate of callers' connections, shared by both interfaces, now drops a request behind an answer that says that the connection closes. Nothing of it runs, so that its caller may send it again. In its graceful stop the chat interface marks answers in the same way, by shouldKeepAlive in place of a header, so that the gate sees them.

The new case of callerGate.test.ts fails without the change of callerGate.ts.

--- a/packages/entry/src/connectionTracker.ts
+++ b/packages/entry/src/connectionTracker.ts
@@ -50,7 +50,7 @@
         running.set(response, { flushedBytes: 0, sinceMs: timer.nowMs() });
         gauge.set(running.size);
         if (draining) {
-            response.setHeader("connection", "close");
+            response.shouldKeepAlive = false;
         }
         response.once("close", () => {
             running.delete(response);
--- a/packages/peer/src/callers/__tests__/callerGate.test.ts
+++ b/packages/peer/src/callers/__tests__/callerGate.test.ts
@@ -116,6 +116,22 @@
             assert.equal(entries, ["read", "read", "excess read"]);
         },
     },
+    {
+        name: "requests behind an answer that closes the connection are run",
+        play: async ({ open, responses, entries, running }) => {
+            const { socket, received } = await open();
+            socket.write(get);
+            await settle();
+            responses[0]!.shouldKeepAlive = false;
+            socket.write(get.repeat(2));
+            await settle();
+            responses[0]!.end("only");
+            await settle();
+            assert.equal(entries, ["read", "closed", "closed"]);
+            assert.is(running(), 0);
+            assert.match(received(), /Connection: close\r\n[^]*only$/);
+        },
+    },
     {
         name: "a connection pipelines without bound",
         play: async ({ open, responses, running, ends }) => {
--- a/packages/peer/src/callers/callerConnections.ts
+++ b/packages/peer/src/callers/callerConnections.ts
@@ -45,6 +45,8 @@
     readonly count: () => number;
     /** A connection that is not tracked yet is from now on. */
     readonly factsOf: (socket: Socket) => ConnectionFacts;
+    /** Whether an answer that was sent, is under way or waits says that the connection closes behind it. */
+    readonly isClosing: (socket: Socket) => boolean;
     /** Closes the connection as soon as its requests are answered. */
     readonly closeWhenAnswered: (socket: Socket) => void;
     /** Unanswered requests that came behind another one on their connection. */
@@ -134,6 +136,10 @@
         },
         count: () => connections.size,
         factsOf: socket => describe(connections.get(socket) ?? add(socket), nowMs()),
+        isClosing: socket =>
+            // After the last answer has been handed over, the server ends the connection.
+            socket.writableEnded
+            || [...connections.get(socket)?.running ?? []].some(({ shouldKeepAlive }) => !shouldKeepAlive),
         closeWhenAnswered: socket => {
             const connection = connections.get(socket) ?? add(socket);
             connection.closesWhenAnswered = true;
--- a/packages/peer/src/callers/callerGate.ts
+++ b/packages/peer/src/callers/callerGate.ts
@@ -39,6 +39,11 @@
                 response.emit("close");
                 return { kind: "closed" };
             }
+            if (connections.isClosing(socket)) {
+                // Its caller sent it before it could know; it gets no answer, so it must not be run.
+                response.emit("close");
+                return { kind: "closed" };
+            }
             const connection = connections.noteRequest(request, response);
             const unanswered = connection.unanswered();
             if (unanswered > limits.maxPipelinedOnConnection) {
