Close a connection in a stop behind its last answer, not its first

With two requests running on a connection when SIGTERM came, the first answer said that the connection closes, and the second request, which had been passed on, got none (LOST). The listener marked every answer that had not begun.

Only the last answer on each connection is marked now; the gate drops what comes behind it.

--- a/packages/gateway/src/listeners/callerListener.ts
+++ b/packages/gateway/src/listeners/callerListener.ts
@@ -92,11 +92,7 @@
         openConnections: connections.count,
         startDraining: () => {
             isDraining = true;
-            connections.running().forEach(response => {
-                if (!response.headersSent) {
-                    response.shouldKeepAlive = false;
-                }
-            });
+            connections.announceClose();
         },
         stopListening: () => {
             // The server's own `close` also closes connections whose answer is written but not sent.
--- a/packages/peer/src/callers/callerConnections.ts
+++ b/packages/peer/src/callers/callerConnections.ts
@@ -58,6 +58,8 @@
     readonly closeLongestIdle: () => boolean;
     /** Responses of which a part has not left this process yet. */
     readonly running: () => ReadonlySet<ServerResponse>;
+    /** Makes the last answer on each connection say that it closes, unless its head has been sent. */
+    readonly announceClose: () => void;
     /** Closes the connections that serve nothing, and the others as soon as they do. */
     readonly closeWhenIdle: () => void;
     /** Closes all connections. Those with an answer under way are reset, so that none looks complete. */
@@ -143,9 +145,7 @@
         closeWhenAnswered: socket => {
             const connection = connections.get(socket) ?? add(socket);
             connection.closesWhenAnswered = true;
-            [...connection.running].filter(({ headersSent }) => !headersSent).slice(-1).forEach(response => {
-                response.shouldKeepAlive = false;
-            });
+            announceClose(connection);
             closeIfIdle(socket, connection);
         },
         pipelined: () => pipelined,
@@ -158,6 +158,7 @@
             return idlest !== undefined && connections.delete(idlest[0]);
         },
         running: () => running,
+        announceClose: () => connections.forEach(announceClose),
         closeWhenIdle: () => {
             isClosing = true;
             connections.forEach((connection, socket) => closeIfIdle(socket, connection));
@@ -174,6 +175,14 @@
     };
 }
 
+/** Only the last answer may say so: the server closes the connection behind the first one that does. */
+function announceClose({ running }: TrackedConnection): void {
+    const last = [...running].at(-1);
+    if (last !== undefined && !last.headersSent) {
+        last.shouldKeepAlive = false;
+    }
+}
+
 function describe({ openedAtMs, requests, running, last }: TrackedConnection, nowMs: number): ConnectionFacts {
     return {
         connectionAgeMs: Math.round(nowMs - openedAtMs),
