Serve requests with an unknown Expect instead of letting the server refuse them

Node's HTTP server answers 417 to any Expect but 100-continue, without a log line, on both interfaces. A server may ignore an expectation that it does not know; the header is not passed on to upstreams of the users' platform.

Both listeners serve such requests now.

--- a/packages/entry/src/connectionTracker.ts
+++ b/packages/entry/src/connectionTracker.ts
@@ -5,7 +5,12 @@
  * graceful stop would cut off callers that read slowly. A caller that stops reading is disconnected after
  * `callerStallTimeoutMs`; until then it makes this process hold at most one chunk beyond the socket's buffer.
  */
-import { answerUnparsedRequests, type CallerConnections, makeCallerConnections } from "@rattanquay/peer";
+import {
+    answerUnparsedRequests,
+    type CallerConnections,
+    makeCallerConnections,
+    serveUnknownExpectations,
+} from "@rattanquay/peer";
 import { callerErrors, errorBody, headerNames } from "@rattanquay/schema";
 import { randomUUID } from "node:crypto";
 import { type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
@@ -60,6 +65,7 @@
             }
         });
     });
+    serveUnknownExpectations(server);
     watchUnparsedRequests(server, listener, context, connections);
     server.on("tlsClientError", () => countConnectionFault("tlsHandshake", listener, context));
     const cancel = timer.every(limits.callerStallTimeoutMs / checksPerStallTimeout, () => {
--- a/packages/gateway/src/listeners/callerListener.ts
+++ b/packages/gateway/src/listeners/callerListener.ts
@@ -5,6 +5,7 @@
     type CallerMemory,
     makeCallerConnections,
     makeCallerGate,
+    serveUnknownExpectations,
 } from "@rattanquay/peer";
 import { createServer, type IncomingMessage, type ServerResponse, STATUS_CODES } from "node:http";
 import { Server as NetServer } from "node:net";
@@ -69,6 +70,7 @@
     server.headersTimeout = defaultHeaderTimeoutMs;
     server.keepAliveTimeout = defaultIdleTimeoutMs;
     const gate = makeCallerGate(server, connections, callerMemory);
+    serveUnknownExpectations(server);
     answerUnparsedRequests(server, connections, timer.nowMs, {
         onUnparsed: ({ status, fault }) => {
             metrics.unparsedRequests.inc({ fault, status: String(status) });
--- a/packages/peer/src/callers/index.ts
+++ b/packages/peer/src/callers/index.ts
@@ -18,4 +18,9 @@
     type WholeBody,
 } from "./callerMemory";
 export { type RequestBody } from "./segments";
-export { answerUnparsedRequests, maxLinesPerSecond, type UnparsedRequest } from "./unparsedRequests";
+export {
+    answerUnparsedRequests,
+    maxLinesPerSecond,
+    serveUnknownExpectations,
+    type UnparsedRequest,
+} from "./unparsedRequests";
--- a/packages/peer/src/callers/unparsedRequests.ts
+++ b/packages/peer/src/callers/unparsedRequests.ts
@@ -113,3 +113,8 @@
         },
     };
 }
+
+/** Serves requests with an `Expect` that Node does not know as if they had none: its server refuses them with 417 by itself. */
+export function serveUnknownExpectations(server: Server): void {
+    server.on("checkExpectation", (request, response) => server.emit("request", request, response));
+}
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -20,6 +20,7 @@
     maxLinesPerSecond,
     type RequestBody,
     type RequestEntry,
+    serveUnknownExpectations,
     type TextBody,
     type UnparsedRequest,
     type WholeBody,
