Log requests without a host at the chat interface

Node's HTTP server refused HTTP/1.1 requests without a Host header with 400 by itself, past clientError and without a line. The listeners of the chat interface's process now read them; for callers they end as 400 malformedRequest with a requestEnded line, as HTTP demands that status. The operators' listener serves them, as it looks at no host. The test failed before (an answer that names no request) and passes now.

--- a/packages/entry/src/callers/callerListener.ts
+++ b/packages/entry/src/callers/callerListener.ts
@@ -47,6 +47,8 @@
 
 /** Retry delay of requests that this process does not take in now. */
 const refusalRetryMs = 1_000;
+/** The version of HTTP in which a request without a `Host` header is malformed. */
+const hostRequiredVersion = "1.1";
 const chatPath = "/v1/chat/completions";
 const modelsPath = "/v1/models";
 const plainPrefix = "/services/";
@@ -138,6 +140,10 @@
 }
 
 async function route(exchange: Exchange, context: HandlerContext): Promise<RequestOutcome> {
+    const { headers, httpVersion } = exchange.request;
+    if (headers.host === undefined && httpVersion === hostRequiredVersion) {
+        return sendError(exchange, "malformedRequest");
+    }
     const key = parseBearerKey(exchange.request.headers.authorization);
     if (key === undefined) {
         return sendError(exchange, "missingKey");
--- a/packages/entry/src/listener.ts
+++ b/packages/entry/src/listener.ts
@@ -12,7 +12,8 @@
 
 /** Resolves when the listener is bound; rejects if the address cannot be bound or a TLS file cannot be read. */
 export async function openListener(listener: Listener, onRequest: RequestListener): Promise<Server> {
-    const options = { keepAliveTimeout: keepAliveTimeoutMs, connectionsCheckingInterval };
+    // The server itself would refuse a request without a host, and no log line would say so.
+    const options = { keepAliveTimeout: keepAliveTimeoutMs, connectionsCheckingInterval, requireHostHeader: false };
     const server = listener.tls === undefined
         ? createServer(options, onRequest)
         : createSecureServer({ ...options, ...tlsOptions(listener.tls) }, onRequest);
--- a/packages/lab/src/__tests__/answersOutsideTheLog.test.ts
+++ b/packages/lab/src/__tests__/answersOutsideTheLog.test.ts
@@ -79,6 +79,14 @@
     assert.equal(statusLinesOf(answer), ["HTTP/1.1 200"]);
 });
 
+test("a request without a host gets a logged 400", async () => {
+    const answer = await play(post({ max_tokens: 3 }, ["connection: close"]).replace("host: entry\r\n", ""));
+    assert.equal(statusLinesOf(answer), ["HTTP/1.1 400"]);
+    const requestId = requestIdOf(answer);
+    assert.ok(requestId !== undefined, `an answer that names no request: ${answer.slice(0, 100)}`);
+    assert.ok(lines.some(line => line.event === "requestEnded" && line.requestId === requestId));
+});
+
 test("an unreadable request has a line that says how the one before it ended", async () => {
     const answer = await play(post({ max_tokens: 3 }), unreadable, 1_500);
     assert.equal(statusLinesOf(answer), ["HTTP/1.1 200", "HTTP/1.1 400"]);
