--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -10,6 +10,7 @@
 import { type ExchangeOutcome, runExchange } from "./exchange";
 import { type ExchangeDependencies } from "./exchangeDependencies";
 import { type AnswerSource, type DecisionBasis, describeDecision, isRecentlyConfirmed } from "./finalRefusal";
+import { countHeadBytes } from "./headSize";
 import { type Refusal, refusals, refuse } from "./refusals";
 
 type Arrival = {
@@ -47,6 +48,15 @@
         return;
     }
     const { routes } = basis;
+    const headBytes = countHeadBytes(request);
+    const { maxHeaderBytes } = routes.config.bounds;
+    if (headBytes > maxHeaderBytes) {
+        refuseArrival(arrival, "headTooLarge", dependencies, {
+            basis,
+            measured: { headBytes, maxHeadBytes: maxHeaderBytes },
+        });
+        return;
+    }
     const route = routes.findRoute(request.headers.host, request.url ?? "/");
     if (route === undefined) {
         refuseArrival(arrival, "unknownRoute", dependencies, { basis });
@@ -141,6 +151,8 @@
     readonly route?: ServingRoute;
     readonly bodyBytes?: number | undefined;
     readonly source?: AnswerSource | undefined;
+    /** What was over a bound, and the bound. */
+    readonly measured?: { readonly headBytes: number; readonly maxHeadBytes: number } | undefined;
 };
 
 function recordEnd(
@@ -160,6 +172,7 @@
         route: decision.route?.name,
         configVersion: decision.basis?.routes.version,
         ...loggedOutcome,
+        ...decision.measured,
         durationMs: Math.round(timer.nowMs() - arrivedAtMs),
         ...decisionFields(arrival, loggedOutcome, { ...decision, source: answerSource }, dependencies),
         ...stopFields(arrival, dependencies),
--- a/packages/gateway/src/listeners/callerListener.ts
+++ b/packages/gateway/src/listeners/callerListener.ts
@@ -1,6 +1,13 @@
 /** The listener for caller requests. */
-import { type CallerConnection, type CallerMemory, makeCallerConnections, makeCallerGate } from "@rattanquay/peer";
-import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import {
+    answerUnparsedRequests,
+    type CallerConnection,
+    type CallerMemory,
+    makeCallerConnections,
+    makeCallerGate,
+    serveUnknownExpectations,
+} from "@rattanquay/peer";
+import { createServer, type IncomingMessage, type ServerResponse, STATUS_CODES } from "node:http";
 import { Server as NetServer } from "node:net";
 import { type ClusterState } from "../clusterState";
 import { errorFields } from "../errorFields";
@@ -26,6 +33,8 @@
 
 const defaultHeaderTimeoutMs = 3_000;
 const defaultIdleTimeoutMs = 15_000;
+/** The HTTP server's own bound on a head. The configuration's bound decides; one above this has no effect. */
+const maxHeadBytesCeiling = 65_536;
 /** How often Node checks for connections whose headers are overdue. */
 const connectionsCheckingInterval = 500;
 /** How often timeouts are updated from the current configuration. */
@@ -41,7 +50,8 @@
     const { settings: { listeners: { callers } }, metrics, timer, log } = context;
     const connections = makeCallerConnections(timer.nowMs);
     let isDraining = false;
-    const server = createServer({ connectionsCheckingInterval, requireHostHeader: false }, (request, response) => {
+    const options = { connectionsCheckingInterval, requireHostHeader: false, maxHeaderSize: maxHeadBytesCeiling };
+    const server = createServer(options, (request, response) => {
         const entry = gate.enter(request, response);
         if (entry.kind === "closed") {
             return;
@@ -60,6 +70,14 @@
     server.headersTimeout = defaultHeaderTimeoutMs;
     server.keepAliveTimeout = defaultIdleTimeoutMs;
     const gate = makeCallerGate(server, connections, callerMemory);
+    serveUnknownExpectations(server);
+    answerUnparsedRequests(server, connections, timer.nowMs, {
+        onUnparsed: ({ status, fault }) => {
+            metrics.unparsedRequests.inc({ fault, status: String(status) });
+            return unparsedAnswer(status);
+        },
+        onLine: unparsed => log.warn("requestUnparsed", unparsed),
+    });
     const cancel = timer.every(timeoutUpdateEveryMs, () => {
         const bounds = clusterState.configuration()?.bounds;
         if (bounds !== undefined) {
@@ -76,11 +94,7 @@
         openConnections: connections.count,
         startDraining: () => {
             isDraining = true;
-            connections.running().forEach(response => {
-                if (!response.headersSent) {
-                    response.shouldKeepAlive = false;
-                }
-            });
+            connections.announceClose();
         },
         stopListening: () => {
             // The server's own `close` also closes connections whose answer is written but not sent.
@@ -94,3 +108,8 @@
         },
     };
 }
+
+/** The answer of Node's own server, with its end marked. */
+function unparsedAnswer(status: number): string {
+    return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+}
--- a/packages/peer/src/callers/callerConnections.ts
+++ b/packages/peer/src/callers/callerConnections.ts
@@ -17,10 +17,38 @@
     readonly unanswered: () => number;
 };
 
+/** What is known of a connection, for the log. */
+export type ConnectionFacts = {
+    readonly connectionAgeMs: number;
+    readonly connectionRequests: number;
+    readonly unanswered: number;
+    /** Whether the head of an answer was sent that is not complete. */
+    readonly hasBegunAnswer: boolean;
+    /** Whether the body of a request that has no whole answer yet is not complete. */
+    readonly isReadingBody: boolean;
+    /** How the last request that has ended did so; undefined if none has. */
+    readonly last: LastRequest | undefined;
+};
+
+type LastRequest = {
+    /** 0 if no head of an answer was sent. */
+    readonly status: number;
+    readonly wasAnswerSent: boolean;
+    readonly wasBodyRead: boolean;
+    /** Whether its answer said that the connection closes. */
+    readonly closes: boolean;
+};
+
 export type CallerConnections = {
     readonly add: (socket: Socket) => void;
     readonly noteRequest: (request: IncomingMessage, response: ServerResponse) => CallerConnection;
     readonly count: () => number;
+    /** A connection that is not tracked yet is from now on. */
+    readonly factsOf: (socket: Socket) => ConnectionFacts;
+    /** Whether an answer that was sent, is under way or waits says that the connection closes behind it. */
+    readonly isClosing: (socket: Socket) => boolean;
+    /** Closes the connection as soon as its requests are answered. */
+    readonly closeWhenAnswered: (socket: Socket) => void;
     /** Unanswered requests that came behind another one on their connection. */
     readonly pipelined: () => number;
     /**
@@ -30,6 +58,8 @@
     readonly closeLongestIdle: () => boolean;
     /** Responses of which a part has not left this process yet. */
     readonly running: () => ReadonlySet<ServerResponse>;
+    /** Makes the last answer on each connection say that it closes, unless its head has been sent. */
+    readonly announceClose: () => void;
     /** Closes the connections that serve nothing, and the others as soon as they do. */
     readonly closeWhenIdle: () => void;
     /** Closes all connections. Those with an answer under way are reset, so that none looks complete. */
@@ -40,6 +70,8 @@
     readonly openedAtMs: number;
     requests: number;
     readonly running: Set<ServerResponse>;
+    last: LastRequest | undefined;
+    closesWhenAnswered: boolean;
     /** How many bytes had been received when the last request was complete; any beyond them begin another. */
     bytesServed: number;
     /** When it was opened, or its last answer ended. */
@@ -59,6 +91,8 @@
             openedAtMs,
             requests: 0,
             running: own,
+            last: undefined,
+            closesWhenAnswered: false,
             bytesServed: 0,
             idleSinceMs: openedAtMs,
             unanswered: () => own.size,
@@ -72,6 +106,10 @@
         return connection;
     };
     const closeIfIdle = (socket: Socket, connection: TrackedConnection): void => {
+        if (connection.closesWhenAnswered && connection.running.size === 0) {
+            socket.destroySoon();
+            return;
+        }
         if (isClosing && connection.running.size === 0 && socket.bytesRead === connection.bytesServed) {
             socket.destroy();
         }
@@ -90,6 +128,7 @@
                 running.delete(response);
                 pipelined -= connection.running.size > 0 ? 1 : 0;
                 connection.idleSinceMs = nowMs();
+                connection.last = describeEnd(request, response);
                 if (request.complete) {
                     connection.bytesServed = socket.bytesRead;
                 }
@@ -98,6 +137,17 @@
             return connection;
         },
         count: () => connections.size,
+        factsOf: socket => describe(connections.get(socket) ?? add(socket), nowMs()),
+        isClosing: socket =>
+            // After the last answer has been handed over, the server ends the connection.
+            socket.writableEnded
+            || [...connections.get(socket)?.running ?? []].some(({ shouldKeepAlive }) => !shouldKeepAlive),
+        closeWhenAnswered: socket => {
+            const connection = connections.get(socket) ?? add(socket);
+            connection.closesWhenAnswered = true;
+            announceClose(connection);
+            closeIfIdle(socket, connection);
+        },
         pipelined: () => pipelined,
         closeLongestIdle: () => {
             const [idlest] = [...connections].filter(([, { running: own }]) => own.size === 0).sort(([, a], [, b]) =>
@@ -108,6 +158,7 @@
             return idlest !== undefined && connections.delete(idlest[0]);
         },
         running: () => running,
+        announceClose: () => connections.forEach(announceClose),
         closeWhenIdle: () => {
             isClosing = true;
             connections.forEach((connection, socket) => closeIfIdle(socket, connection));
@@ -123,3 +174,32 @@
         },
     };
 }
+
+/** Only the last answer may say so: the server closes the connection behind the first one that does. */
+function announceClose({ running }: TrackedConnection): void {
+    const last = [...running].at(-1);
+    if (last !== undefined && !last.headersSent) {
+        last.shouldKeepAlive = false;
+    }
+}
+
+function describe({ openedAtMs, requests, running, last }: TrackedConnection, nowMs: number): ConnectionFacts {
+    return {
+        connectionAgeMs: Math.round(nowMs - openedAtMs),
+        connectionRequests: requests,
+        unanswered: running.size,
+        hasBegunAnswer: [...running].some(({ headersSent }) => headersSent),
+        isReadingBody: [...running].some(({ req }) => !req.complete),
+        last,
+    };
+}
+
+function describeEnd({ complete }: IncomingMessage, response: ServerResponse): LastRequest {
+    const { headersSent, statusCode, writableFinished, shouldKeepAlive } = response;
+    return {
+        status: headersSent ? statusCode : 0,
+        wasAnswerSent: writableFinished,
+        wasBodyRead: complete,
+        closes: !shouldKeepAlive,
+    };
+}
