End a request whose send meets an unexpected error by what was sent, not as its caller's fault

Callers saw 400 unreadablePath, 'not run', for any error in a send, also while the request still ran at an upstream; its long prompt and its bytes stayed counted there, and its end threw a ReferenceError from callbacks that use later declarations.

Cause: a catch around the whole send, and an attempt that counted only after its request was opened. Now the attempt counts first (AttemptBookkeeping, undone once), its callbacks use only what is declared before them, and starting it returns an outcome: started, or failed with whether bytes may have been sent. A failed start destroys its request before Node assigns a connection, so that 'not run' is true; the request goes elsewhere, or ends with 503 (502 if bytes may have been sent), with one unexpectedError line of the origin 'send'. The upstream isn't blamed. A long prompt is taken out again when a listener of it fails.

--- a/packages/gateway/src/exchange/__tests__/sendErrors.test.ts
+++ b/packages/gateway/src/exchange/__tests__/sendErrors.test.ts
@@ -93,7 +93,7 @@
 type Counts = Record<"upstreamBytes" | "quarantine" | "stallWatch" | "longPrompts", number>;
 
 /** Parts that fail; each throws until it has failed as often as `times` says. */
-const parts = ["headers", "upstreamBytes", "quarantine", "stallWatch", "longPrompts"] as const;
+const parts = ["headers", "body", "upstreamBytes", "quarantine", "stallWatch", "longPrompts"] as const;
 type Part = (typeof parts)[number];
 
 type Play = { readonly failing: Part; readonly times: number; readonly upstreams: Upstreams };
@@ -157,7 +157,14 @@
                     gatewayHeaders: () => [],
                     readHead: () => ({
                         kind: "head",
-                        head: { status: 200, isSealed: true, isNotRun: false, hasMarkedEnd: true, headers: [] },
+                        head: {
+                            status: 200,
+                            requestId: "a-1",
+                            isSealed: true,
+                            isNotRun: false,
+                            hasMarkedEnd: true,
+                            headers: [],
+                        },
                     }),
                 },
             },
@@ -207,7 +214,13 @@
         held: { noteBuffered: () => undefined },
         route,
         service,
-        body: { parts: [Buffer.from("{}")], length: bodyBytes },
+        body: {
+            get parts() {
+                failIf("body");
+                return [Buffer.from("{}")];
+            },
+            length: bodyBytes,
+        },
         arrivedAtMs: systemTimer.nowMs(),
         endByMs: systemTimer.nowMs() + route.timeoutMs,
         urgencies: [1],
--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -35,13 +35,18 @@
 };
 
 export type Attempt = {
-    readonly startedAtMs: number;
     /** Aborts the attempt, which ends as `cut`, or as `unreached` if nothing was sent. */
     readonly abort: (reason: string) => void;
     /** Continues to read the answer after a pause. */
     readonly resume: () => void;
 };
 
+/** The result of starting an attempt. One that did not start calls no event, and its request is not sent later. */
+export type AttemptStart =
+    | { readonly kind: "started"; readonly attempt: Attempt }
+    /** An unexpected error. `mayHaveBeenSent` states whether a connection may have taken bytes of the request. */
+    | { readonly kind: "failed"; readonly error: unknown; readonly mayHaveBeenSent: boolean };
+
 export type AttemptOptions = {
     readonly upstream: KnownUpstream;
     readonly method: string;
@@ -61,7 +66,19 @@
 /** Node's errors about bytes that are no HTTP begin with it. */
 const parseErrorPrefix = "HPE_";
 
-export function startAttempt(options: AttemptOptions, events: AttemptEvents): Attempt {
+/** Never throws: a request that was opened is either under way or destroyed when this returns. */
+export function startAttempt(options: AttemptOptions, events: AttemptEvents): AttemptStart {
+    let client: ClientRequest;
+    try {
+        client = openRequest(options);
+    }
+    catch (error) {
+        return { kind: "failed", error, mayHaveBeenSent: false };
+    }
+    return followRequest(client, options, events);
+}
+
+function followRequest(client: ClientRequest, options: AttemptOptions, events: AttemptEvents): AttemptStart {
     const { upstream, upstream: { load, pool }, timer, requestId, gate } = options;
     let earlierRequests = 0;
     let mayHaveBeenSent = false;
@@ -69,7 +86,7 @@
     let abortReason: string | undefined;
     let hasHead = false;
     let readOn: (() => void) | undefined;
-    const client = openRequest(options);
+    let cancelConnect = (): void => undefined;
     load.start();
     const settle = (notify: () => void): void => {
         if (ended) {
@@ -101,34 +118,13 @@
         closeForGood(client);
         fail(reason);
     };
-    const cancelConnect = timer.after(connectTimeoutMs, () => {
+    const noteConnectTimeout = (): void => {
         if (!mayHaveBeenSent) {
             load.noteUnreachable(timer.nowMs());
             abort("no connection in time");
         }
-    });
-    sendRequest(client, options.body.parts, gate, {
-        onSocket: socket => earlierRequests = pool.countRequest(socket),
-        onSending: () => mayHaveBeenSent = true,
-        hasEnded: () => ended,
-        onHeldBack: () => {
-            abortReason = "held back";
-            client.destroy();
-            settle(events.onHeldBack);
-        },
-    });
-    limitHeadBytes(client, () => {
-        events.onUnreadable("no head within its largest size");
-        abort("the answer can't be read");
-    });
-    client.on("error", error => {
-        const { code = error.message } = error as NodeJS.ErrnoException;
-        if (!ended && code.startsWith(parseErrorPrefix)) {
-            events.onUnreadable(code);
-        }
-        fail(code);
-    });
-    client.on("response", answer => {
+    };
+    const receive = (answer: IncomingMessage): void => {
         if (ended) {
             return;
         }
@@ -140,11 +136,7 @@
         }
         const { head } = reading;
         const { requestId: answerId, isNotRun } = head;
-        if (isNotRun && answerId === undefined) {
-            pool.noteRefusalWithoutId();
-            // A sign of overload even if the refusal belongs to another request.
-            load.noteUnreachable(timer.nowMs());
-        }
+        noteRefusalWithoutId(head, upstream, timer.nowMs());
         const proof = proofOfAnswer({ requestId, answerId, isNotRun, earlierRequests });
         if (proof === "nothing") {
             events.onStrayAnswer(head, earlierRequests);
@@ -160,13 +152,67 @@
             return;
         }
         readOn = readAnswer(answer, head, events, { finish, fail, hasEnded: () => ended, load, timer });
+    };
+    const send = (): void =>
+        sendRequest(client, options.body.parts, gate, {
+            onSocket: socket => earlierRequests = pool.countRequest(socket),
+            onSending: () => mayHaveBeenSent = true,
+            hasEnded: () => ended,
+            onHeldBack: () => {
+                abortReason = "held back";
+                client.destroy();
+                settle(events.onHeldBack);
+            },
+        });
+    try {
+        cancelConnect = timer.after(connectTimeoutMs, noteConnectTimeout);
+        send();
+        listen(client, {
+            onUnreadable: fault => ended || events.onUnreadable(fault),
+            onExcess: () => abort("the answer can't be read"),
+            onError: fail,
+            onAnswer: receive,
+            onClose: () => hasHead || fail("closed without an answer"),
+        });
+    }
+    catch (error) {
+        abortReason = "unexpected error";
+        settle(() => undefined);
+        discardRequest(client);
+        return { kind: "failed", error, mayHaveBeenSent };
+    }
+    return { kind: "started", attempt: { abort, resume: () => readOn?.() } };
+}
+
+type ClientListeners = {
+    readonly onUnreadable: (fault: string) => unknown;
+    /** Called after `onUnreadable` if more than the largest head has come. */
+    readonly onExcess: () => void;
+    readonly onError: (code: string) => void;
+    readonly onAnswer: (answer: IncomingMessage) => void;
+    readonly onClose: () => unknown;
+};
+
+function listen(client: ClientRequest, { onUnreadable, onExcess, onError, onAnswer, onClose }: ClientListeners): void {
+    limitHeadBytes(client, () => {
+        onUnreadable("no head within its largest size");
+        onExcess();
     });
-    client.on("close", () => {
-        if (!hasHead) {
-            fail("closed without an answer");
+    client.on("error", error => {
+        const { code = error.message } = error as NodeJS.ErrnoException;
+        if (code.startsWith(parseErrorPrefix)) {
+            onUnreadable(code);
         }
+        onError(code);
     });
-    return { startedAtMs: timer.nowMs(), abort, resume: () => readOn?.() };
+    client.on("response", onAnswer);
+    client.on("close", onClose);
+}
+
+/** Node assigns a connection in a later tick, so that a request which is destroyed before it gets one is not sent. */
+function discardRequest(client: ClientRequest): void {
+    client.on("error", () => undefined);
+    closeForGood(client);
 }
 
 function openRequest(
@@ -199,6 +245,14 @@
     socket.resetAndDestroy();
 }
 
+function noteRefusalWithoutId({ isNotRun, requestId }: AnswerHead, { pool, load }: KnownUpstream, nowMs: number): void {
+    if (isNotRun && requestId === undefined) {
+        pool.noteRefusalWithoutId();
+        // A sign of overload even if the refusal belongs to another request.
+        load.noteUnreachable(nowMs);
+    }
+}
+
 function updateLoad(head: AnswerHead, { load }: KnownUpstream, nowMs: number): void {
     if (head.load !== undefined) {
         load.noteReport(head.load, nowMs);
--- a/packages/gateway/src/exchange/attemptRun.ts
+++ b/packages/gateway/src/exchange/attemptRun.ts
@@ -3,12 +3,21 @@
 import { type ColdGrant } from "../cold";
 import { type AnswerHead } from "../ports";
 import { type ObservedEnd } from "../quarantine";
-import { type AdmittedRequest, promptRequestOf } from "./admittedRequest";
-import { type Attempt, type AttemptEnd, type AttemptOptions, startAttempt } from "./attempt";
+import { type AdmittedRequest } from "./admittedRequest";
+import {
+    type Attempt,
+    type AttemptEnd,
+    type AttemptEvents,
+    type AttemptOptions,
+    type AttemptStart,
+    startAttempt,
+} from "./attempt";
+import { type AttemptBookkeeping, makeAttemptBookkeeping } from "./attemptBookkeeping";
+import { type AttemptControls, makeAttemptControls } from "./attemptControls";
 import { type ExchangeDependencies } from "./exchangeDependencies";
 import { priorityOf } from "./loadShedding";
 import { type Placement } from "./placement";
-import { type AttemptResult, type Relay } from "./relays";
+import { type AttemptReader, type AttemptResult, type Relay } from "./relays";
 import { type Gate } from "./sendRequest";
 
 export type AttemptRunOptions = {
@@ -32,108 +41,156 @@
 
 export type AttemptRun = Pick<Attempt, "abort">;
 
-/** Throws if the request target contains characters that Node cannot send unchanged. */
-export function runAttempt(options: AttemptRunOptions): AttemptRun {
-    const { admitted, dependencies, placement, relay, hasExchangeEnded, onResult } = options;
+/** The result of starting a run; one that failed counts nothing any more and calls none of the callbacks. */
+export type AttemptRunStart =
+    | { readonly kind: "started"; readonly run: AttemptRun }
+    | Extract<AttemptStart, { readonly kind: "failed" }>;
+
+/** Never throws. The attempt is counted before its request is opened, so that an error in counting sends nothing. */
+export function runAttempt(options: AttemptRunOptions): AttemptRunStart {
+    const { dependencies, placement: { upstream: { load } }, relay } = options;
     const { timer } = dependencies.context;
+    const controls = makeAttemptControls();
     const reader = relay.begin();
-    const progress = { hasHead: false, lastBytesAtMs: timer.nowMs(), isPaused: false };
-    let firstBytesAtMs: number | undefined;
-    const noteAnswer = (isFaulty: boolean): void => placement.upstream.load.faults.noteAnswer(isFaulty, timer.nowMs());
-    const abortFor = (reason: string | undefined): void => {
-        if (reason !== undefined) {
-            noteAnswer(true);
-            attempt.abort(reason);
-        }
+    const progress: Progress = {
+        startedAtMs: timer.nowMs(),
+        hasHead: false,
+        firstBytesAtMs: undefined,
+        lastBytesAtMs: timer.nowMs(),
+        isPaused: false,
     };
-    const attempt = startAttempt(attemptOptions(options), {
+    const bookkeeping = makeAttemptBookkeeping(options, {
+        isStalled: nowMs => isStalled(options, progress, reader, nowMs),
+        abort: controls.abort,
+    });
+    const start = tryStart({ options, controls, reader, progress, bookkeeping });
+    if (start.kind === "failed") {
+        bookkeeping.close("other");
+        return start;
+    }
+    load.faults.noteSent(timer.nowMs());
+    controls.attach(start.attempt);
+    return { kind: "started", run: controls };
+}
+
+function tryStart(state: RunState): AttemptStart {
+    try {
+        state.bookkeeping.open();
+        return startAttempt(attemptOptions(state.options), attemptEvents(state));
+    }
+    catch (error) {
+        // startAttempt doesn't throw: no request was opened.
+        return { kind: "failed", error, mayHaveBeenSent: false };
+    }
+}
+
+type Progress = {
+    readonly startedAtMs: number;
+    hasHead: boolean;
+    firstBytesAtMs: number | undefined;
+    lastBytesAtMs: number;
+    /** Whether reading waits for a caller that reads slowly. */
+    isPaused: boolean;
+};
+
+type RunState = {
+    readonly options: AttemptRunOptions;
+    readonly controls: AttemptControls;
+    readonly reader: AttemptReader;
+    readonly progress: Progress;
+    readonly bookkeeping: AttemptBookkeeping;
+};
+
+function attemptEvents(state: RunState): AttemptEvents {
+    const { options, reader, progress, bookkeeping } = state;
+    const { admitted, dependencies, placement: { upstream }, hasExchangeEnded } = options;
+    return {
         onHead: head => {
             progress.hasHead = true;
-            abortFor(reader.onHead(head));
+            abortFor(state, reader.onHead(head));
         },
         onBytes: bytes => {
-            progress.lastBytesAtMs = timer.nowMs();
-            if (firstBytesAtMs === undefined) {
-                firstBytesAtMs = progress.lastBytesAtMs;
-                endPrefill();
-                placement.noteFirstEvent(progress.lastBytesAtMs - attempt.startedAtMs);
-            }
+            noteBytes(state);
             if (!reader.isPassedOn()) {
                 admitted.held.noteBuffered(bytes.length);
             }
             if (!hasExchangeEnded()) {
                 const abortReason = reader.onBytes(bytes);
                 if (reader.hasOutput()) {
-                    watch.noteOutput();
+                    bookkeeping.noteOutput();
                 }
-                abortFor(abortReason);
+                abortFor(state, abortReason);
             }
-            return pauseForCaller();
+            return pauseForCaller(state);
         },
         onHeldBack: () => {
-            endPrefill();
-            cancelStallWatch();
-            freeUpstreamBytes();
-            watch.noteEnd("other");
+            bookkeeping.close("other");
             if (!hasExchangeEnded()) {
                 options.onHeldBack();
             }
         },
         onStrayAnswer: (head, earlierRequests) => {
             if (!head.isNotRun) {
-                noteAnswer(true);
+                noteAnswer(state, true);
             }
             noteStrayAnswer(options, head, earlierRequests);
         },
-        onEnd: end => {
-            endPrefill();
-            cancelStallWatch();
-            freeUpstreamBytes();
-            if (hasExchangeEnded()) {
-                watch.noteEnd("other");
-                return;
-            }
-            const result = reader.onEnd(end);
-            if (result.kind !== "short") {
-                noteAnswer(result.kind === "failed" && result.answer.status >= firstServerError);
-            }
-            watch.noteEnd(observeEnd(end, result));
-            onResult(result, firstBytesAtMs === undefined ? undefined : timer.nowMs() - firstBytesAtMs);
-        },
+        onEnd: end => noteEnd(state, end),
         onUnreadable: fault => {
-            noteAnswer(true);
-            dependencies.unreadableAnswers.note(placement.upstream.record.id, admitted.caller.requestId, fault);
+            noteAnswer(state, true);
+            dependencies.unreadableAnswers.note(upstream.record.id, admitted.caller.requestId, fault);
         },
-    });
-    placement.upstream.load.faults.noteSent(timer.nowMs());
-    const endPrefill = startPrefill(options);
-    const freeUpstreamBytes = dependencies.upstreamBytes.add(placement.upstream.record.id, admitted.body.length);
-    /** Waits until a caller that reads slowly has taken what is buffered for it. */
-    const pauseForCaller = (): boolean => {
-        if (!admitted.response.writableNeedDrain || progress.isPaused) {
-            return !progress.isPaused;
-        }
-        progress.isPaused = true;
-        admitted.response.once("drain", () => {
-            progress.isPaused = false;
-            progress.lastBytesAtMs = timer.nowMs();
-            attempt.resume();
-        });
-        return false;
     };
-    const watch = dependencies.quarantine.watch(promptRequestOf(admitted), placement.upstream, attempt.abort);
-    const cancelStallWatch = dependencies.stallWatch.add(
-        nowMs => isStalled(options, attempt, { ...progress, isPassedOn: reader.isPassedOn() }, nowMs),
-        () => attempt.abort("nothing came from the upstream"),
-    );
-    return attempt;
 }
 
-/** Counts a long prompt in the load of its upstream. The returned function ends that. */
-function startPrefill({ placement: { upstream, extraPrefillMs }, dependencies }: AttemptRunOptions): () => void {
-    return extraPrefillMs === 0
-        ? () => undefined
-        : dependencies.registry.startPrefill(upstream, extraPrefillMs, dependencies.context.timer.nowMs());
+function noteAnswer({ options: { placement, dependencies } }: RunState, isFaulty: boolean): void {
+    placement.upstream.load.faults.noteAnswer(isFaulty, dependencies.context.timer.nowMs());
+}
+
+function abortFor(state: RunState, reason: string | undefined): void {
+    if (reason !== undefined) {
+        noteAnswer(state, true);
+        state.controls.abort(reason);
+    }
+}
+
+function noteBytes({ options: { dependencies, placement }, progress, bookkeeping }: RunState): void {
+    progress.lastBytesAtMs = dependencies.context.timer.nowMs();
+    if (progress.firstBytesAtMs === undefined) {
+        progress.firstBytesAtMs = progress.lastBytesAtMs;
+        bookkeeping.endPrefill();
+        placement.noteFirstEvent(progress.lastBytesAtMs - progress.startedAtMs);
+    }
+}
+
+/** Waits until a caller that reads slowly has taken what is buffered for it. Returns whether to read on now. */
+function pauseForCaller({ options: { admitted, dependencies }, progress, controls }: RunState): boolean {
+    if (!admitted.response.writableNeedDrain || progress.isPaused) {
+        return !progress.isPaused;
+    }
+    progress.isPaused = true;
+    admitted.response.once("drain", () => {
+        progress.isPaused = false;
+        progress.lastBytesAtMs = dependencies.context.timer.nowMs();
+        controls.resume();
+    });
+    return false;
+}
+
+function noteEnd(state: RunState, end: AttemptEnd): void {
+    const { options, reader, progress: { firstBytesAtMs }, bookkeeping } = state;
+    bookkeeping.release();
+    if (options.hasExchangeEnded()) {
+        bookkeeping.close("other");
+        return;
+    }
+    const result = reader.onEnd(end);
+    if (result.kind !== "short") {
+        noteAnswer(state, result.kind === "failed" && result.answer.status >= firstServerError);
+    }
+    bookkeeping.close(observeEnd(end, result));
+    const nowMs = options.dependencies.context.timer.nowMs();
+    options.onResult(result, firstBytesAtMs === undefined ? undefined : nowMs - firstBytesAtMs);
 }
 
 /** Logs and counts an answer that proves nothing about the request that waits on its connection. */
@@ -154,17 +211,10 @@
     });
 }
 
-type Progress = {
-    readonly hasHead: boolean;
-    readonly isPassedOn: boolean;
-    readonly lastBytesAtMs: number;
-    readonly isPaused: boolean;
-};
-
 function isStalled(
     { admitted: { service, route }, placement, canRetryElsewhere }: AttemptRunOptions,
-    { startedAtMs }: Attempt,
-    { hasHead, isPassedOn, lastBytesAtMs, isPaused }: Progress,
+    { startedAtMs, hasHead, lastBytesAtMs, isPaused }: Progress,
+    reader: AttemptReader,
     nowMs: number,
 ): boolean {
     if (isPaused) {
@@ -178,7 +228,7 @@
         predictedMs: placement.predictedMs,
         sentAtMs: startedAtMs,
         hasHead,
-        isPassedOn,
+        isPassedOn: reader.isPassedOn(),
         lastBytesAtMs,
         upstreamProgressAtMs: load.progressAtMs(),
     }, nowMs);
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -17,8 +17,9 @@
 import { type Ending } from "@rattanquay/schema";
 import { type Cancel } from "@rattanquay/timer";
 import { type ColdGrant } from "../cold";
+import { errorFields } from "../errorFields";
 import { type AdmittedRequest, promptRequestOf } from "./admittedRequest";
-import { type AttemptRun, runAttempt } from "./attemptRun";
+import { type AttemptRun, type AttemptRunStart, runAttempt } from "./attemptRun";
 import { type ExchangeDependencies } from "./exchangeDependencies";
 import { exclusionOf } from "./exclusion";
 import { type BufferedAnswer } from "./framedResponse";
@@ -263,13 +264,32 @@
         this.predictedMs ??= Math.round(placement.predictedMs);
         this.triedUpstreams.add(placement.upstream.record.id);
         this.excludedUpstreams.add(placement.upstream.record.id);
-        try {
-            this.send(placement, grant);
-        }
-        catch {
-            // Node throws if the request target contains characters that it cannot send unchanged.
-            this.refuseWith("unreadablePath");
+        const start = this.send(placement, grant);
+        if (start.kind === "failed") {
+            this.handleSendError(start, placement);
+            return;
         }
+        this.currentAttempt = start.run;
+    }
+
+    /** Neither the caller nor the upstream is at fault: the request goes elsewhere, or ends by what may have been sent. */
+    private handleSendError(
+        { error, mayHaveBeenSent }: Extract<AttemptRunStart, { readonly kind: "failed" }>,
+        placement: Placement,
+    ): void {
+        const { caller: { requestId }, request } = this.admitted;
+        const { log, metrics } = this.dependencies.context;
+        const upstream = placement.upstream.record.id;
+        log.error("unexpectedError", {
+            origin: "send",
+            requestId,
+            upstream,
+            path: request.url,
+            ...errorFields(error),
+        });
+        metrics.unexpectedErrors.inc({ origin: "send" });
+        const failure = mayHaveBeenSent ? "inDoubt" : "unreached";
+        this.handleResult({ kind: "short", failure, reason: "unexpected error" }, placement, undefined);
     }
 
     private hasTimeInThisProcess({ predictedEndMs }: Placement): boolean {
@@ -280,9 +300,9 @@
         return stop === undefined || mayTakeIn({ endByMs: admitted.endByMs, expectedEndMs }, stop, nowMs);
     }
 
-    private send(placement: Placement, grant: ColdGrant | undefined): void {
+    private send(placement: Placement, grant: ColdGrant | undefined): AttemptRunStart {
         const { admitted, dependencies, relay } = this;
-        this.currentAttempt = runAttempt({
+        return runAttempt({
             admitted,
             dependencies,
             placement,
--- a/packages/gateway/src/upstreams/upstreamRegistry.ts
+++ b/packages/gateway/src/upstreams/upstreamRegistry.ts
@@ -137,7 +137,13 @@
             })),
         startPrefill: ({ load }, prefillMs, nowMs) => {
             const end = load.prefill.add(prefillMs, nowMs);
-            prefillListeners.forEach(listener => listener());
+            try {
+                prefillListeners.forEach(listener => listener());
+            }
+            catch (error) {
+                end();
+                throw error;
+            }
             return end;
         },
         onPrefill: listener => void prefillListeners.push(listener),
