Refuse calls of a workspace whose name no header can hold with 503, and check targets before the placement

With a space at an end of the name, the upstream read another name. Cause: the name was first looked at by Node's client.

Whether a target or a header's value can be sent is now decided in core (isSendableTarget, isSendableHeaderValue) on arrival. A target that can't be sent is still 400; Node's parser rejects each of these before, so this guards against a change of it. A name that can't be sent is 503 unsendableWorkspace, not run: the caller is not at fault and the name may be mended. The whole configuration isn't left out for one name: then the keys and routes that it adds would be refused with 401 and 404.

--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -57,6 +57,7 @@
     type RetryRules,
 } from "./retryPolicy";
 export { chooseService, makeRouteTable, type RouteTable } from "./routeTable";
+export { isSendableHeaderValue, isSendableTarget } from "./sendableText";
 export { detectStall, type PendingAttempt, type StallState } from "./stallDetection";
 export { type LoadReport, makeUpstreamLoad, type UpstreamLoad } from "./upstreamLoad";
 export { type PriorityInput, requestPriority, urgenciesOf, urgencyOf, urgencyRank } from "./urgency";
--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -1,5 +1,12 @@
 /** Admits a request: finds its route and workspace and reads its body, then runs it or refuses it with a reason. */
-import { chooseService, intersectRegions, type RouteTable, urgencyOf } from "@rattanquay/core";
+import {
+    chooseService,
+    intersectRegions,
+    isSendableHeaderValue,
+    isSendableTarget,
+    type RouteTable,
+    urgencyOf,
+} from "@rattanquay/core";
 import { type CallerConnection } from "@rattanquay/peer";
 import { type ServingRoute } from "@rattanquay/schema";
 import { type IncomingMessage, type ServerResponse } from "node:http";
@@ -45,6 +52,10 @@
         refuseArrival(arrival, "noConfiguration", dependencies, undefined);
         return;
     }
+    if (!isSendableTarget(request.url ?? "/")) {
+        refuseArrival(arrival, "unreadablePath", dependencies, routes);
+        return;
+    }
     const route = routes.findRoute(request.headers.host, request.url ?? "/");
     if (route === undefined) {
         refuseArrival(arrival, "unknownRoute", dependencies, routes);
@@ -56,6 +67,10 @@
         refuseArrival(arrival, "unknownKey", dependencies, routes);
         return;
     }
+    if (workspace !== undefined && !isSendableHeaderValue(workspace.workspace)) {
+        refuseArrival(arrival, "unsendableWorkspace", dependencies, routes);
+        return;
+    }
     const { bounds } = routes.config;
     const reading = await held.readBody({ maxBytes: bounds.maxBodyBytes, limitMs: bodyLimitMs(caller, route) });
     if (reading.kind !== "read") {
--- a/packages/gateway/src/exchange/refusals.ts
+++ b/packages/gateway/src/exchange/refusals.ts
@@ -33,6 +33,11 @@
         ending: "notRun",
         message: "This process stops before it could finish it; the others serve it.",
     },
+    unsendableWorkspace: {
+        status: 503,
+        ending: "notRun",
+        message: "The name of the key's workspace can't be passed on to an upstream.",
+    },
     unreadablePath: { status: 400, ending: "notRun", message: "The request's target cannot be passed on." },
     unknownKey: { status: 401, ending: "notRun", message: "The key is missing or unknown." },
     unknownRoute: { status: 404, ending: "notRun", message: "No route matches the host and path." },
