Pass on no answer below 500 that lacks the upstream's seal

Callers saw a 3xx or 4xx, which they never retry, from whatever answered in an upstream's place; an unsealed 408 or 429 moreover promises 'not run', which nothing proves. Cause: only successes were checked for the seal.

An unsealed answer below 500 now ends its attempt like an unsealed success: it may have run, so that it is retried if it may be repeated, else 502 unknownOutcome. Sealed answers pass unchanged, and what states Not-Executed is still 'not run'. Unsealed 5xx stay: 500, 502 and 504 promise nothing and blame nobody.

--- a/packages/gateway/src/exchange/relays.ts
+++ b/packages/gateway/src/exchange/relays.ts
@@ -46,6 +46,11 @@
 /** Larger answers are forwarded as they arrive; if one is interrupted, so is the response to the caller. */
 const maxBufferedBytes = 262_144;
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
+/**
+ * Statuses that only the upstream itself may give, which its seal proves: a success, and what tells the caller that its request is
+ * wrong and not to be sent again. A server error says nothing of the request, whoever answers it.
+ */
+const needsSeal = (status: number): boolean => status < 500;
 
 function resultOfIncomplete(end: Exclude<AttemptEnd, { readonly kind: "whole" }>): AttemptResult {
     const handlers = {
@@ -61,7 +66,7 @@
 
 /** Why an attempt is aborted whose bytes can't be passed on. */
 const reasons = {
-    unsealed: "successful answer without a seal",
+    unsealed: "answer without a seal",
     hasBegun: "another answer to the caller has begun",
     unfit: "the answer does not fit what the caller has of it",
 } as const;
@@ -77,7 +82,7 @@
     return {
         onHead: received => {
             head = received;
-            return isSuccess(received.status) && !received.isSealed ? reasons.unsealed : undefined;
+            return needsSeal(received.status) && !received.isSealed ? reasons.unsealed : undefined;
         },
         onBytes: bytes => {
             if (body !== undefined) {
