Promise 'not run' by no 503 that lacks the upstream's seal

Callers got a 503, which promises that the request has not run, from whatever answered in an upstream's place without a seal and without Not-Executed. Such an answer now ends its attempt as one that may have run. A sealed 503 and one with Not-Executed stay as they are; unsealed 500, 502 and 504 promise nothing and stay, too.

--- a/packages/gateway/src/exchange/relays.ts
+++ b/packages/gateway/src/exchange/relays.ts
@@ -46,11 +46,12 @@
 /** Larger answers are forwarded as they arrive; if one is interrupted, so is the response to the caller. */
 const maxBufferedBytes = 262_144;
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
+const unavailableStatus = 503;
 /**
- * Statuses that only the upstream itself may give, which its seal proves: a success, and what tells the caller that its request is
- * wrong and not to be sent again. A server error says nothing of the request, whoever answers it.
+ * Statuses that only the upstream itself may give, which its seal proves: a success, what tells the caller that its request is
+ * wrong and not to be sent again, and the promise that it has not run. Other server errors say nothing of the request.
  */
-const needsSeal = (status: number): boolean => status < 500;
+const needsSeal = (status: number): boolean => status < 500 || status === unavailableStatus;
 
 function resultOfIncomplete(end: Exclude<AttemptEnd, { readonly kind: "whole" }>): AttemptResult {
     const handlers = {
