Pass on no refusal from a neighbour's address that does not name the request

Callers of the chat interface saw a 4xx as the system's own answer, or a 'not run' that nothing proved, from whatever answered at the address of a neighbour, such as another service that listens there later. Cause: a request that is sent on to another zone took any 4xx for a replica's rejection. An entry instance returns the request's id with each answer, so a refusal without it now ends as one that may have run (502 upstreamFailed). A refusal of a request that the neighbour can't parse bears no id of ours, and ends as 502, too.

No run of two zones' processes: the tests of packages/lab need the bundle, which can't be built in this tree (pure-rand).

--- a/packages/entry/src/callers/__tests__/chatAttempt.test.ts
+++ b/packages/entry/src/callers/__tests__/chatAttempt.test.ts
@@ -122,11 +122,12 @@
     return { record, answer: answer as unknown as ChatAnswer };
 }
 
-function attempt(address: string, answer: ChatAnswer) {
+function attempt(address: string, answer: ChatAnswer, echoedRequestId?: string) {
     const response = new ServerResponse({ method: "POST" } as never);
     return attemptChat({
         attemptId: "1",
         address,
+        echoedRequestId,
         headers: {},
         call: {},
         answer,
@@ -145,6 +146,34 @@
     });
 }
 
+const ownId = "request-1";
+const neighbourRefusals: readonly {
+    readonly name: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly kind: string;
+}[] = [
+    // A neighbour with an older configuration refuses keys and models that this instance has admitted.
+    { name: "its own refusal", headers: { "x-request-id": ownId, "x-outcome": "notRun" }, kind: "unreached" },
+    { name: "its replica's rejection", headers: { "x-request-id": ownId }, kind: "rejected" },
+    { name: "an answer without the request's id", headers: {}, kind: "cut" },
+    { name: "an answer with another request's id", headers: { "x-request-id": "request-2" }, kind: "cut" },
+    {
+        name: "an answer with another request's id that claims not to have run",
+        headers: { "x-request-id": "request-2", "x-outcome": "notRun" },
+        kind: "cut",
+    },
+];
+for (const status of [400, 401, 403, 404, 409, 413, 422]) {
+    for (const { name, headers, kind } of neighbourRefusals) {
+        test(`DENIED: a neighbour's ${status}, ${name}: ${kind}`, async () => {
+            respond = refusal(status, json({ error: { code: "theirs" } }), headers);
+            const { answer } = makeRecord();
+            const result = await attempt(`127.0.0.1:${(server.address() as AddressInfo).port}`, answer, ownId);
+            assert.is(result.kind, kind);
+        });
+    }
+}
+
 test("a port without a listener: unreached", async () => {
     const closed = createServer();
     await new Promise<void>(resolve => closed.listen(0, "127.0.0.1", resolve));
--- a/packages/entry/src/callers/chatAttempt.ts
+++ b/packages/entry/src/callers/chatAttempt.ts
@@ -24,6 +24,8 @@
     readonly attemptId: string;
     readonly address: string;
     readonly headers: Readonly<Record<string, string>>;
+    /** Set for an entry instance, which returns it with each answer: a refusal without it is not that instance's. */
+    readonly echoedRequestId?: string | undefined;
     /** The request body. `stream` is always set to true, also when the caller did not ask for a stream. */
     readonly call: Readonly<Record<string, unknown>>;
     readonly answer: ChatAnswer;
@@ -66,7 +68,7 @@
         }, response =>
             response.statusCode === 200
                 ? readStream(response, answer.openSink(attemptId), end, idle)
-                : readRefusal(response, end));
+                : readRefusal(response, attempt.echoedRequestId, end));
         const idle = watchIdle(timer, limits.upstreamIdleTimeoutMs, () => end({ kind: "timedOut" }));
         const cancelConnect = timer.after(limits.connectTimeoutMs, () => connected || end({ kind: "unreached" }));
         request.on("socket", socket => {
--- a/packages/entry/src/callers/chatRefusal.ts
+++ b/packages/entry/src/callers/chatRefusal.ts
@@ -8,7 +8,13 @@
 const notRun: AttemptResult = { kind: "unreached" };
 const mayHaveRun: AttemptResult = { kind: "cut" };
 
-export function readRefusal(response: IncomingMessage, end: (result: AttemptResult) => void): void {
+/** `echoedRequestId` is the id that the answerer must return; undefined if it need not. */
+export function readRefusal(
+    response: IncomingMessage,
+    echoedRequestId: string | undefined,
+    end: (result: AttemptResult) => void,
+): void {
+    const isProven = echoedRequestId === undefined || response.headers[headerNames.requestId] === echoedRequestId;
     let body = "";
     response.setEncoding("utf8");
     response.on("data", (text: string) => {
@@ -21,7 +27,12 @@
     response.on("close", () => end(mayHaveRun));
     response.on(
         "end",
-        () => end(classifyRefusal(response.statusCode ?? 0, response.headers[headerNames.outcome], body)),
+        () =>
+            end(
+                isProven
+                    ? classifyRefusal(response.statusCode ?? 0, response.headers[headerNames.outcome], body)
+                    : mayHaveRun,
+            ),
     );
 }
 
--- a/packages/entry/src/callers/spill.ts
+++ b/packages/entry/src/callers/spill.ts
@@ -42,6 +42,7 @@
     const result = await attemptChat({
         attemptId: randomUUID(),
         address,
+        echoedRequestId: exchange.requestId,
         headers: {
             ...tracing.propagationHeaders(span),
             authorization: String(exchange.request.headers.authorization),
