Compare a body with the bound in force now, if that is larger than the one on its arrival

Callers saw 413 for a body in chunks that the configuration in force allowed, if a smaller bound was in force when it began. A body within both bounds was never refused, raised or lowered, with a length or in chunks: the ten tests of that passed before. Cause: the bound was read once. It is now asked with each part, and the larger of both holds. A body whose declared length is above the bound on arrival is still refused at once.

bodyBound.test.ts: 1 of 11 failed before, all pass. rules (60), the peer package's tests of callers (21) and plain (8) pass.

--- a/packages/entry/src/callers/body.ts
+++ b/packages/entry/src/callers/body.ts
@@ -21,7 +21,7 @@
     { held }: Exchange,
     { maxBodyBytes, requestReadTimeoutMs }: Settings["limits"],
 ): Promise<BodyResult> {
-    const body: WholeBody = await held.readWhole({ maxBytes: maxBodyBytes, limitMs: requestReadTimeoutMs });
+    const body: WholeBody = await held.readWhole({ maxBytes: () => maxBodyBytes, limitMs: requestReadTimeoutMs });
     return body.kind === "read" ? body : results[body.kind];
 }
 
@@ -29,7 +29,7 @@
     { held }: Exchange,
     { maxBodyBytes, requestReadTimeoutMs }: Settings["limits"],
 ): Promise<TextResult> {
-    const body: TextBody = await held.readText({ maxBytes: maxBodyBytes, limitMs: requestReadTimeoutMs });
+    const body: TextBody = await held.readText({ maxBytes: () => maxBodyBytes, limitMs: requestReadTimeoutMs });
     return body.kind === "read" ? body : results[body.kind];
 }
 
--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -71,8 +71,10 @@
         refuseArrival(arrival, "unsendableWorkspace", dependencies, routes);
         return;
     }
-    const { bounds } = routes.config;
-    const reading = await held.readBody({ maxBytes: bounds.maxBodyBytes, limitMs: bodyLimitMs(caller, route) });
+    const reading = await held.readBody({
+        maxBytes: () => maxBodyBytes(routes, dependencies),
+        limitMs: bodyLimitMs(caller, route),
+    });
     if (reading.kind !== "read") {
         refuseUnreadBody(arrival, reading.kind, dependencies, routes);
         return;
@@ -104,6 +106,11 @@
     );
 }
 
+/** The larger bound of the configuration on arrival and the one in force now: a body that either allows is not refused. */
+function maxBodyBytes({ config: { bounds } }: RouteTable, { clusterState }: ExchangeDependencies): number {
+    return Math.max(bounds.maxBodyBytes, clusterState.routes()?.config.bounds.maxBodyBytes ?? 0);
+}
+
 function bodyLimitMs({ deadlineMs }: CallerRequest, { timeoutMs }: ServingRoute): number {
     return Math.min(timeoutMs, deadlineMs ?? timeoutMs);
 }
--- a/packages/peer/src/callers/callerBody.ts
+++ b/packages/peer/src/callers/callerBody.ts
@@ -16,7 +16,8 @@
     | { readonly kind: "gone" };
 
 export type BodyLimits = {
-    readonly maxBytes: number;
+    /** Asked again with each part that arrives, since the bound can be raised meanwhile. */
+    readonly maxBytes: () => number;
     /** Time for the whole body. */
     readonly limitMs: number;
 };
@@ -65,7 +66,7 @@
         const onData = (chunk: Buffer): void => {
             size += chunk.length;
             holding.moved = size;
-            if (size > maxBytes) {
+            if (size > maxBytes()) {
                 finish({ kind: "tooLarge" });
                 return;
             }
@@ -79,7 +80,7 @@
         };
         const cancel = timer.after(limitMs, () => finish({ kind: "late" }));
         onEndable(finish);
-        if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
+        if (Number(request.headers["content-length"] ?? 0) > maxBytes()) {
             finish({ kind: "tooLarge" });
             return;
         }
