--- a/packages/entry/src/callers/body.ts
+++ b/packages/entry/src/callers/body.ts
@@ -21,7 +21,10 @@
     exchange: Exchange,
     { maxBodyBytes, requestReadTimeoutMs }: Settings["limits"],
 ): Promise<BodyResult> {
-    const body: WholeBody = await exchange.held.readWhole({ maxBytes: maxBodyBytes, limitMs: requestReadTimeoutMs });
+    const body: WholeBody = await exchange.held.readWhole({
+        maxBytes: () => maxBodyBytes,
+        limitMs: requestReadTimeoutMs,
+    });
     return body.kind === "read" ? body : failedBody(exchange, body);
 }
 
@@ -29,7 +32,10 @@
     exchange: Exchange,
     { maxBodyBytes, requestReadTimeoutMs }: Settings["limits"],
 ): Promise<TextResult> {
-    const body: TextBody = await exchange.held.readText({ maxBytes: maxBodyBytes, limitMs: requestReadTimeoutMs });
+    const body: TextBody = await exchange.held.readText({
+        maxBytes: () => maxBodyBytes,
+        limitMs: requestReadTimeoutMs,
+    });
     return body.kind === "read" ? body : failedBody(exchange, body);
 }
 
--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -1,5 +1,13 @@
 /** Admits a request: finds its route and workspace and reads its body, then runs it or refuses it with a reason. */
-import { chooseService, intersectRegions, isFinalRefusal, urgencyOf } from "@rattanquay/core";
+import {
+    chooseService,
+    intersectRegions,
+    isFinalRefusal,
+    isSendableHeaderValue,
+    isSendableTarget,
+    type RouteTable,
+    urgencyOf,
+} from "@rattanquay/core";
 import { type CallerBody, type CallerConnection } from "@rattanquay/peer";
 import { type ServingRoute } from "@rattanquay/schema";
 import { type IncomingMessage, type ServerResponse } from "node:http";
@@ -57,6 +65,10 @@
         });
         return;
     }
+    if (!isSendableTarget(request.url ?? "/")) {
+        refuseArrival(arrival, "unreadablePath", dependencies, { basis });
+        return;
+    }
     const route = routes.findRoute(request.headers.host, request.url ?? "/");
     if (route === undefined) {
         refuseArrival(arrival, "unknownRoute", dependencies, { basis });
@@ -68,8 +80,14 @@
         refuseArrival(arrival, "unknownKey", dependencies, { basis, route });
         return;
     }
-    const { bounds } = routes.config;
-    const reading = await held.readBody({ maxBytes: bounds.maxBodyBytes, limitMs: bodyLimitMs(caller, route) });
+    if (workspace !== undefined && !isSendableHeaderValue(workspace.workspace)) {
+        refuseArrival(arrival, "unsendableWorkspace", dependencies, { basis, route });
+        return;
+    }
+    const reading = await held.readBody({
+        maxBytes: () => maxBodyBytes(routes, dependencies),
+        limitMs: bodyLimitMs(caller, route),
+    });
     if (reading.kind !== "read") {
         refuseUnreadBody(arrival, reading, dependencies, { basis, route });
         return;
@@ -106,6 +124,11 @@
         : { routes, evidence, readAtMs: timer.nowMs() };
 }
 
+/** The larger bound of the configuration on arrival and the one in force now: a body that either allows is not refused. */
+function maxBodyBytes({ config: { bounds } }: RouteTable, { clusterState }: ExchangeDependencies): number {
+    return Math.max(bounds.maxBodyBytes, clusterState.routes()?.config.bounds.maxBodyBytes ?? 0);
+}
+
 function bodyLimitMs({ deadlineMs }: CallerRequest, { timeoutMs }: ServingRoute): number {
     return Math.min(timeoutMs, deadlineMs ?? timeoutMs);
 }
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -17,9 +17,9 @@
 import { type Ending } from "@rattanquay/schema";
 import { type Cancel } from "@rattanquay/timer";
 import { type ColdGrant } from "../cold";
-import { errorFields } from "../errorFields";
 import { type AdmittedRequest, promptRequestOf } from "./admittedRequest";
-import { type AttemptRun, runAttempt } from "./attemptRun";
+import { logFailedAttempt, logSendError, segmentsForLog } from "./attemptLog";
+import { type AttemptRun, type AttemptRunStart, runAttempt } from "./attemptRun";
 import { type ExchangeDependencies } from "./exchangeDependencies";
 import { exclusionOf } from "./exclusion";
 import { type AnswerSource } from "./finalRefusal";
@@ -274,27 +274,23 @@
         this.predictedMs ??= Math.round(placement.predictedMs);
         this.triedUpstreams.add(placement.upstream.record.id);
         this.excludedUpstreams.add(placement.upstream.record.id);
-        try {
-            this.send(placement, grant);
-        }
-        catch (error) {
-            // Node throws if the request target contains characters that it cannot send unchanged.
-            this.logSendError(error, placement);
-            this.refuseWith("unreadablePath");
+        const start = this.send(placement, grant);
+        if (start.kind === "failed") {
+            this.handleSendError(start, placement);
+            return;
         }
+        this.currentAttempt = start.run;
     }
 
-    private logSendError(error: unknown, { upstream }: Placement): void {
-        const { admitted: { caller, request }, dependencies: { context: { log, metrics } } } = this;
-        const origin = "send";
-        metrics.unexpectedErrors.inc({ origin });
-        log.error("unexpectedError", {
-            origin,
-            requestId: caller.requestId,
-            upstream: upstream.record.id,
-            path: request.url,
-            ...errorFields(error),
-        });
+    /** Neither the caller nor the upstream is at fault: the request goes elsewhere, or ends by what may have been sent. */
+    private handleSendError(
+        { error, mayHaveBeenSent }: Extract<AttemptRunStart, { readonly kind: "failed" }>,
+        placement: Placement,
+    ): void {
+        logSendError(error, this.admitted, placement, this.dependencies);
+        const failure = mayHaveBeenSent ? "inDoubt" : "unreached";
+        const source = { upstream: placement.upstream.record.id, isSealed: false };
+        this.handleResult({ kind: "short", failure, reason: "unexpected error" }, placement, undefined, source);
     }
 
     private hasTimeInThisProcess({ predictedEndMs }: Placement): boolean {
@@ -305,9 +301,9 @@
         return stop === undefined || mayTakeIn({ endByMs: admitted.endByMs, expectedEndMs }, stop, nowMs);
     }
 
-    private send(placement: Placement, grant: ColdGrant | undefined): void {
+    private send(placement: Placement, grant: ColdGrant | undefined): AttemptRunStart {
         const { admitted, dependencies, relay } = this;
-        this.currentAttempt = runAttempt({
+        return runAttempt({
             admitted,
             dependencies,
             placement,
@@ -359,7 +355,9 @@
             this.errorAnswer = result.answer;
             this.errorSource = source;
         }
-        this.logFailedAttempt(result, failure, placement, answeringMs);
+        const { admitted, dependencies } = this;
+        const lastEventId = this.relay.lastEventId();
+        logFailedAttempt({ admitted, placement, result, failure, answeringMs, lastEventId }, dependencies);
         const canRetry = this.canRetryAfter(failure) && this.timeLeftMs() >= minAttemptMs;
         this.sends = countAttempt(this.sends, failure);
         if (canRetry && this.isWithinRetryBudget()) {
@@ -382,32 +380,4 @@
         });
         return false;
     }
-
-    private logFailedAttempt(
-        result: Exclude<AttemptResult, { kind: "answered" }>,
-        failure: AttemptFailure,
-        placement: Placement,
-        answeringMs: number | undefined,
-    ): void {
-        this.dependencies.context.log.info("sendFell", {
-            requestId: this.admitted.caller.requestId,
-            upstream: placement.upstream.record.id,
-            failure,
-            reason: result.kind === "failed" ? `status ${result.answer.status}` : result.reason,
-            blames: result.kind === "short" ? result.blames : undefined,
-            lastEventId: this.relay.lastEventId(),
-            answeringMs: answeringMs === undefined ? undefined : Math.round(answeringMs),
-            segments: segmentsForLog(this.admitted),
-            predictedMs: Math.round(placement.predictedMs),
-            load: Math.round(placement.upstream.load.estimate(this.dependencies.context.timer.nowMs())),
-            candidates: placement.candidates,
-        });
-    }
 }
-
-/** Undefined for requests without a prompt, so that their log lines have no empty list. */
-function segmentsForLog({ caller: { promptSegments } }: AdmittedRequest): readonly string[] | undefined {
-    return promptSegments.length === 0 ? undefined : promptSegments.slice(0, maxLoggedSegments);
-}
-
-const maxLoggedSegments = 8;
--- a/packages/peer/src/callers/callerBody.ts
+++ b/packages/peer/src/callers/callerBody.ts
@@ -17,7 +17,8 @@
     | { readonly kind: "gone" };
 
 export type BodyLimits = {
-    readonly maxBytes: number;
+    /** Asked again with each part that arrives, since the bound can be raised meanwhile. */
+    readonly maxBytes: () => number;
     /** Time for the whole body. */
     readonly limitMs: number;
 };
@@ -66,7 +67,7 @@
         const onData = (chunk: Buffer): void => {
             size += chunk.length;
             holding.moved = size;
-            if (size > maxBytes) {
+            if (size > maxBytes()) {
                 finish({ kind: "tooLarge", bytes: size });
                 return;
             }
@@ -81,7 +82,7 @@
         const cancel = timer.after(limitMs, () => finish({ kind: "late" }));
         onEndable(finish);
         const announcedBytes = Number(request.headers["content-length"] ?? 0);
-        if (announcedBytes > maxBytes) {
+        if (announcedBytes > maxBytes()) {
             finish({ kind: "tooLarge", bytes: announcedBytes });
             return;
         }
