Call a relay current only while the store answers about the configuration, too

Cause: `isCurrent` compared only the age of the answers about upstreams with 850 ms, and a relay's poll of the configuration waited 1.5 s as in any process.

Change: a relay polls both tables in turns of 500 ms, and the age of either's last answer counts. This is one call a second more of each relay.

Test: a relay whose watch of one table alone is silent must not be current a second later. It failed for the table `op` before, and passes now.

--- a/packages/gateway/src/clusterState/__tests__/watchClusterState.test.ts
+++ b/packages/gateway/src/clusterState/__tests__/watchClusterState.test.ts
@@ -22,9 +22,10 @@
 const promiseDepth = 20;
 const tables = ["op", "servers"];
 
-/** A store without changes, whose polls never get an answer if they began before it was silenced. */
+/** A store without changes, whose polls never get an answer if they began before it was silenced, or of one table at all. */
 function makeStore(timer: VirtualTimer, followSlackMs: number) {
     let silencedAtMs = Infinity;
+    let silentTable: string | undefined;
     const answeredAtMs = new Map<string, number>();
     const done = (): StoreOutcome<never> => {
         const stamp = { sentAtMs: 0, storeNowMs: 0, storeRevision: 1 };
@@ -41,14 +42,19 @@
                 answeredAtMs.set(table, answeredAtMs.get(table) ?? beganAtMs);
             }
             await later(waitMs, () => undefined);
-            if (beganAtMs <= silencedAtMs && timer.nowMs() > silencedAtMs) {
+            const isSilent = silentTable === undefined ? beganAtMs <= silencedAtMs : table === silentTable;
+            if (isSilent && timer.nowMs() > silencedAtMs) {
                 return later(followSlackMs, () => ({ kind: "unanswered", reason: "silent" }));
             }
             return done();
         },
         write: async () => done(),
     };
-    return { store, silence: () => silencedAtMs = timer.nowMs(), answeredAtMs };
+    const silence = (table?: string): void => {
+        silentTable = table;
+        silencedAtMs = timer.nowMs();
+    };
+    return { store, silence, answeredAtMs };
 }
 
 async function settlePromises(): Promise<void> {
@@ -108,6 +114,46 @@
     });
 }
 
+/** Processes that follow a relay rely on it to notice within this time that the store is silent. */
+const noticedWithinMs = 1_000;
+for (const table of tables) {
+    test(`DENIED, DRAIN: a relay is called current while its watch of the table "${table}" alone is silent`, async () => {
+        const timer = new VirtualTimer();
+        const { store, silence } = makeStore(timer, 800);
+        const source = (name: string): RecordSource<never> => ({ table: name, decode: () => ({ kind: "unrelated" }) });
+        const watch = watchClusterState(
+            {
+                settings: { bounds: { contactMs: 3_000 } },
+                ports: { store, sources: { configuration: source("op"), upstreams: source("servers") } },
+                timer,
+                log: silentLog,
+                metrics: makeGatewayMetrics(),
+                random: () => 0.5,
+                onFatalError: assert.unreachable,
+            } as unknown as GatewayContext,
+            () => false,
+        );
+        const seen: boolean[] = [];
+        const advance = async (durationMs: number): Promise<void> => {
+            for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
+                timer.advance(stepMs);
+                await settlePromises();
+                seen.push(watch.isCurrent());
+            }
+        };
+        watch.setRelaying(true);
+        // For polls under way to end, which wait longer.
+        await advance(2 * settledMs);
+        seen.length = 0;
+        await advance(3 * settledMs);
+        assert.ok(seen.every(isCurrent => isCurrent), "not current in calm");
+        silence(table);
+        await advance(noticedWithinMs);
+        assert.not(watch.isCurrent());
+        watch.stop();
+    });
+}
+
 test("CONFIG: a silent store no longer confirms the configuration, and its last answer counts from the question", async () => {
     const timer = new VirtualTimer();
     const { store, silence } = makeStore(timer, 800);
--- a/packages/gateway/src/clusterState/watchClusterState.ts
+++ b/packages/gateway/src/clusterState/watchClusterState.ts
@@ -29,8 +29,8 @@
 const plannerPollMs = 100;
 const defaultPollMs = 600;
 /**
- * A connection to the store can go silent without an error. A relay polls the list this often even without changes, and
- * no longer counts as current when an answer is overdue.
+ * A connection to the store can go silent without an error. A relay polls the configuration and the list this often even
+ * without changes, and no longer counts as current when an answer about either is overdue.
  */
 const relayWaitMs = 500;
 const maxAnswerAgeMs = 850;
@@ -40,6 +40,8 @@
  */
 const removalGraceMs = 2_000;
 
+const isAnswered = (watch: TableWatch): boolean => watch.isCurrent() && watch.answerAgeMs() < maxAnswerAgeMs;
+
 export function watchClusterState(context: GatewayContext, isPlanner: () => boolean): ClusterStateWatch {
     const { log, metrics, ports, settings, timer } = context;
     const faults = makeRowFaults(context);
@@ -49,8 +51,9 @@
         zone => settings.regions === undefined || Object.hasOwn(settings.regions, zone),
         timer.nowMs,
     );
-    const maxWaitMs = longestWaitMs(settings.bounds.contactMs, ports.store.followSlackMs);
+    const longestMs = longestWaitMs(settings.bounds.contactMs, ports.store.followSlackMs);
     let isRelaying = false;
+    const maxWaitMs = (): number => isRelaying ? Math.min(relayWaitMs, longestMs) : longestMs;
     const { configuration: configSource, upstreams: upstreamSource } = ports.sources;
     const evacuations = makeEvacuationReader(ports.sources.evacuations, clusterState.evacuations, faults);
 
@@ -65,7 +68,7 @@
     const configuration = watchTable({
         table: configSource.table,
         minPollMs: () => 0,
-        maxWaitMs: () => maxWaitMs,
+        maxWaitMs,
         knownRevision: () => 0,
         onUpToDate: clusterState.configurationAge.noteStoreAnswer,
         reader: {
@@ -107,7 +110,7 @@
     const upstreams = watchTable({
         table: upstreamSource.table,
         minPollMs: () => isPlanner() ? plannerPollMs : defaultPollMs,
-        maxWaitMs: () => isRelaying ? Math.min(relayWaitMs, maxWaitMs) : maxWaitMs,
+        maxWaitMs,
         knownRevision: clusterState.asOf,
         reader: {
             onSnapshot: (rows, asOf) => {
@@ -133,7 +136,7 @@
         clusterState,
         configuration,
         upstreams,
-        isCurrent: () => configuration.isCurrent() && upstreams.isCurrent() && upstreams.answerAgeMs() < maxAnswerAgeMs,
+        isCurrent: () => isAnswered(configuration) && isAnswered(upstreams),
         setRelaying: next => {
             isRelaying = next;
         },
