Refuse for good only by a configuration that is known to be the newest

Seen: proper requests got 401 or 404, which callers never repeat, by processes that were cut off from the store or turned away by it, had just woken or started, or followed relays with an old copy (deniedOnOldConfiguration, deniedAfterPause).

Cause: both were decided by the version in force, however old the last word of the store or a relay about it was. A relay's notice counted from its arrival, also if it had waited in the socket of a stopped process or on a link.

Change: a final refusal needs a confirmation of the last second. Without one the request waits up to 400 ms for one question, which all waiting requests share, to the store or the relays; it is decided anew, and refused as 503 `unconfirmedConfiguration`, not run, with Retry-After, if nothing confirms. Notices carry the time of the relay's own confirmation on the relay's clock, and subscriptions read that clock, so that a delay makes a notice look older and never newer. Answers of peers carry the age of theirs. A long poll without changes confirms until the end of its wait. The fields are optional: beside relays of earlier builds a process asks the store.

Why it works: each confirmation is a lower bound of the time at which no newer version existed, so no refusal rests on one that was replaced over a second ago.

Not covered: 413 is still decided by the version in force.

--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -25,6 +25,7 @@
     requiresNewConnection,
     type SendFacts,
 } from "./answerProof";
+export { type ConfigurationCurrency, maxConfirmationAgeMs, mayRefuseFinally } from "./configurationCurrency";
 export { type EventDecision, type EventSequence, makeEventSequence } from "./eventSequence";
 export { type EventSplitter, makeEventSplitter, type RawEvent } from "./eventSplitter";
 export { type EnginePlacement, extraPrefillMs, isLongPrompt, makeEnginePlacement } from "./longPrompts";
--- a/packages/gateway/src/clusterState/configurationAge.ts
+++ b/packages/gateway/src/clusterState/configurationAge.ts
@@ -1,8 +1,8 @@
 /**
  * Keeps since when the configuration in force has been in force here, and when it was last confirmed to be the newest.
  *
- * A confirmation carries the time at which the question was sent, or the notice received: a newer configuration may
- * have been written at any moment after that. Times are passed in as values, on the clock of the process.
+ * A confirmation carries the latest time for which it is certain: a newer configuration may have been written at any moment
+ * after that. Times are passed in as values, on the clock of the process.
  */
 import { type Origin } from "./origin";
 
@@ -35,8 +35,13 @@
     readonly noteInForce: (version: number, origin: Origin, nowMs: number) => void;
     /** Records that the store has stated all changes up to the time at which it was asked, and that they are applied. */
     readonly noteStoreAnswer: (askedAtMs: number) => void;
-    /** Records a relay's notice. One that is not current confirms nothing, but may announce a newer version. */
-    readonly noteNotice: (notice: ConfigurationNotice, receivedAtMs: number) => void;
+    /** Records that a peer, whose version is not newer than the one in force here, stated it to be the newest at a time. */
+    readonly notePeerAnswer: (confirmedAtMs: number) => void;
+    /**
+     * Records a relay's notice, and the time at which the relay's version was confirmed, if that is known. A relay that is not
+     * current confirms nothing, but may announce a newer version.
+     */
+    readonly noteNotice: (notice: ConfigurationNotice, confirmedAtMs: number | undefined) => void;
     /** Returns undefined while no configuration is in force. */
     readonly evidence: () => ConfigurationEvidence | undefined;
 };
@@ -52,7 +57,7 @@
     let inForce: InForce | undefined;
     let confirmedAtMs: number | undefined;
     /** The newest version that a relay has announced, and when a current relay last named it as the newest. */
-    let announced = { version: 0, currentAtMs: -Infinity };
+    let announced = { version: 0, confirmedAtMs: -Infinity };
 
     const confirm = (atMs: number): void => {
         confirmedAtMs = Math.max(confirmedAtMs ?? -Infinity, atMs);
@@ -62,8 +67,8 @@
     return {
         noteInForce: (version, origin, nowMs) => {
             inForce = { version, origin, inForceSinceMs: nowMs };
-            if (isNewestKnown() && announced.currentAtMs > -Infinity) {
-                confirm(announced.currentAtMs);
+            if (isNewestKnown() && announced.confirmedAtMs > -Infinity) {
+                confirm(announced.confirmedAtMs);
             }
         },
         noteStoreAnswer: askedAtMs => {
@@ -71,16 +76,23 @@
                 confirm(askedAtMs);
             }
         },
-        noteNotice: ({ configVersion, isCurrent, isLeaving }, receivedAtMs) => {
-            const isConfirming = isCurrent && !isLeaving;
+        notePeerAnswer: atMs => {
+            if (isNewestKnown()) {
+                confirm(atMs);
+            }
+        },
+        noteNotice: ({ configVersion, isCurrent, isLeaving }, atMs) => {
             if (configVersion > announced.version) {
-                announced = { version: configVersion, currentAtMs: -Infinity };
+                announced = { version: configVersion, confirmedAtMs: -Infinity };
+            }
+            if (atMs === undefined || !isCurrent || isLeaving) {
+                return;
             }
-            if (isConfirming && configVersion === announced.version) {
-                announced = { version: configVersion, currentAtMs: receivedAtMs };
+            if (configVersion === announced.version) {
+                announced = { version: configVersion, confirmedAtMs: Math.max(announced.confirmedAtMs, atMs) };
             }
-            if (isConfirming && isNewestKnown()) {
-                confirm(receivedAtMs);
+            if (isNewestKnown()) {
+                confirm(atMs);
             }
         },
         evidence: () =>
--- a/packages/gateway/src/clusterState/tableWatch.ts
+++ b/packages/gateway/src/clusterState/tableWatch.ts
@@ -22,6 +22,9 @@
     readonly setActive: (isActive: boolean) => void;
     /** Asks the store for changes at once, beside the running poll. Resolves to whether it answered. */
     readonly confirm: () => Promise<boolean>;
+    /** The same, also while the watch is suspended. Resolves to false if the table was never read. */
+    readonly confirmAnyway: () => Promise<boolean>;
+    readonly isActive: () => boolean;
     /** Whether the last call to the store failed; false while the watch is suspended. */
     readonly isUnavailable: () => boolean;
     /** Whether the watch is active and the store answered its last call. */
@@ -62,6 +65,8 @@
     readonly onUpToDate?: (askedAtMs: number) => void;
 };
 
+type DonePoll = Extract<StoreOutcome<RowChanges>, { readonly kind: "done" }>;
+
 export function watchTable(options: WatchOptions, context: GatewayContext): TableWatch {
     const { timer, log, ports, random } = context;
     const { table, reader } = options;
@@ -111,17 +116,29 @@
         if (outcome.kind === "done") {
             after = Math.max(from, after ?? from, outcome.stamp.storeRevision);
             reader.onChanges(outcome.value, after);
-            checkApplied(outcome.stamp);
+            checkApplied({ ...outcome.stamp, sentAtMs: unchangedUntilMs(outcome, waitMs, timer.nowMs()) });
         }
         if (outcome.kind === "historyLost") {
             log.warn("historyLost", { table, after: from });
             after = undefined;
         }
     };
+    const confirmAnyway = async (): Promise<boolean> => {
+        if (after === undefined) {
+            return false;
+        }
+        const outcome = await ports.store.follow(table, after, 0);
+        if (outcome.kind === "done") {
+            const asOf = Math.max(after ?? 0, outcome.stamp.storeRevision);
+            // If the watch has lost its history meanwhile, it must still read the whole table.
+            after = after === undefined ? undefined : asOf;
+            reader.onChanges(outcome.value, asOf);
+            checkApplied(outcome.stamp);
+        }
+        return outcome.kind === "done";
+    };
     const pauseMs = (beganAtMs: number): number =>
-        failures > 0
-            ? backoffMs(failures, random())
-            : Math.max(0, options.minPollMs() - (timer.nowMs() - beganAtMs));
+        failures > 0 ? backoffMs(failures, random()) : options.minPollMs() - (timer.nowMs() - beganAtMs);
     const run = async (): Promise<void> => {
         while (running) {
             if (!active) {
@@ -150,20 +167,9 @@
             }
             active = next;
         },
-        confirm: async () => {
-            if (!active || after === undefined) {
-                return false;
-            }
-            const outcome = await ports.store.follow(table, after, 0);
-            if (outcome.kind === "done") {
-                const asOf = Math.max(after ?? 0, outcome.stamp.storeRevision);
-                // If the watch has lost its history meanwhile, it must still read the whole table.
-                after = after === undefined ? undefined : asOf;
-                reader.onChanges(outcome.value, asOf);
-                checkApplied(outcome.stamp);
-            }
-            return outcome.kind === "done";
-        },
+        confirm: async () => active && await confirmAnyway(),
+        confirmAnyway,
+        isActive: () => active,
         isUnavailable: () => active && unavailableSinceMs !== undefined,
         isCurrent: () => active && answeredAtMs > -Infinity && failures === 0,
         answerAgeMs: () => timer.nowMs() - answeredAtMs,
@@ -171,6 +177,13 @@
     };
 }
 
+/** A poll that ends without changes after its whole wait states that there were none until then. */
+function unchangedUntilMs({ value, stamp }: DonePoll, waitMs: number, nowMs: number): number {
+    const waitedUntilMs = stamp.sentAtMs + waitMs;
+    const hasChanges = value.rows.length + value.removed.length > 0;
+    return hasChanges || nowMs < waitedUntilMs ? stamp.sentAtMs : waitedUntilMs;
+}
+
 /** `random` is in [0, 1). */
 function backoffMs(failures: number, random: number): number {
     const factor = minBackoffFactor + (maxBackoffFactor - minBackoffFactor) * random;
--- a/packages/gateway/src/exchange/__tests__/servedRequests.ts
+++ b/packages/gateway/src/exchange/__tests__/servedRequests.ts
@@ -13,7 +13,7 @@
 import { once } from "node:events";
 import { createServer, type RequestListener, type Server } from "node:http";
 import { type AddressInfo, connect } from "node:net";
-import { makeClusterState } from "../../clusterState";
+import { type ConfigurationCheck, makeClusterState } from "../../clusterState";
 import { type ColdGate } from "../../cold";
 import { makeLifetime } from "../../lifetime";
 import { makeGatewayMetrics } from "../../metrics";
@@ -95,8 +95,15 @@
 
 export type ServedRequests = Awaited<ReturnType<typeof startServedRequests>>;
 
+/** For tests of what follows once a request may be refused for good. */
+const confirmedCheck: ConfigurationCheck = {
+    isConfirmed: () => true,
+    confirm: async () => undefined,
+    confirmWithStore: async () => undefined,
+};
+
 /** Requests whose target is `/…?status=S&seal=1&bytes=B` get that answer of the upstream. */
-export async function startServedRequests() {
+export async function startServedRequests(configurationCheck = confirmedCheck) {
     const lines: LoggedLine[] = [];
     const record = (event: string, fields = {}): number => lines.push({ event, ...fields });
     const log: Log = { ...silentLog, info: record, warn: record, error: record };
@@ -109,7 +116,12 @@
         onReport: () => undefined,
         onCheck: () => undefined,
     });
+    /** The bodies that the upstream has received. */
+    const bodies: string[] = [];
     const upstream = await listen((request, response) => {
+        let body = "";
+        request.on("data", bytes => body += bytes);
+        request.on("end", () => bodies.push(body));
         const query = new URL(request.url ?? "/", "http://upstream").searchParams;
         const seal = query.has("seal") ? { seal: "1" } : {};
         const headers = { "request-id": String(request.headers["request-id"]), ...seal };
@@ -126,6 +138,7 @@
             ports: { requestCodec: codec },
         },
         clusterState,
+        configurationCheck,
         registry,
         coldGate: { coldTestOf: () => undefined } as unknown as ColdGate,
         guard: openPlacementGuard,
@@ -167,8 +180,8 @@
         const connection = { openedAtMs: 0, requests: 1 } as unknown as Parameters<typeof serveRequest>[2];
         void serveRequest(request, response, connection, false, dependencies);
     });
-    /** Sends a request as text, and resolves to the status line once its `requestEnded` is written. */
-    const send = async (text: string): Promise<string> => {
+    /** Sends requests as text over one connection, and resolves to all that came back once their lines are written. */
+    const sendAll = async (text: string, requests: number): Promise<string> => {
         const before = endedLines().length;
         const socket = connect(portOf(entry), host);
         let received = "";
@@ -176,12 +189,15 @@
         socket.on("data", bytes => received += bytes.toString("latin1"));
         socket.write(text, "latin1");
         const endsAtMs = systemTimer.nowMs() + deadlineMs;
-        while ((endedLines().length === before || received === "") && systemTimer.nowMs() < endsAtMs) {
+        const isOver = (): boolean => endedLines().length >= before + requests && received !== "";
+        while (!isOver() && systemTimer.nowMs() < endsAtMs) {
             await sleep(systemTimer, settleMs);
         }
         socket.destroy();
-        return received.split("\r\n", 1)[0]!;
+        return received;
     };
+    /** Sends a request as text, and resolves to the status line once its `requestEnded` is written. */
+    const send = async (text: string): Promise<string> => (await sendAll(text, 1)).split("\r\n", 1)[0]!;
     const endedLines = (): readonly LoggedLine[] => lines.filter(({ event }) => event === "requestEnded");
     return {
         clusterState,
@@ -189,6 +205,10 @@
         lines,
         endedLines,
         send,
+        sendAll,
+        port: portOf(entry),
+        heldBytes: () => callerMemory.ledger.totalBytes(),
+        bodies,
         stop: () => {
             entry.close();
             entry.closeAllConnections();
--- /dev/null
+++ b/packages/gateway/src/exchange/__tests__/unconfirmedRefusals.test.ts
@@ -0,0 +1,144 @@
+/**
+ * What becomes of a request that the configuration in force does not allow, while that may not be the newest. Guards against a
+ * final answer, and against a wait that spoils the connection, the body or the account of what is held.
+ */
+import { sleep, systemTimer } from "@rattanquay/timer";
+import { connect } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { type ConfigurationCheck } from "../../clusterState";
+import { configuration, type ServedRequests, startServedRequests, validKey } from "./servedRequests";
+
+const addedKey = "added-key-00000000000";
+const waitMs = 150;
+const leftMs = 50;
+
+/** Has a check that answers after `waitMs`, when `onAnswer` has run and says whether the configuration is confirmed. */
+async function withServed(
+    onAnswer: (served: ServedRequests) => boolean,
+    run: (served: ServedRequests) => Promise<void>,
+): Promise<void> {
+    let isConfirmed = false;
+    const check: ConfigurationCheck = {
+        isConfirmed: () => isConfirmed,
+        confirm: async () => {
+            await sleep(systemTimer, waitMs);
+            isConfirmed = onAnswer(served);
+        },
+        confirmWithStore: async () => undefined,
+    };
+    const served = await startServedRequests(check);
+    served.clusterState.applyConfiguration(configuration, "peer");
+    try {
+        await run(served);
+    }
+    finally {
+        served.stop();
+    }
+}
+
+const post = (path: string, key: string, body: string): string =>
+    `POST ${path} HTTP/1.1\r\nhost: calls.example\r\nrequest-id: r1\r\napi-key: ${key}\r\n`
+    + `content-length: ${body.length}\r\n\r\n${body}`;
+const served200 = "/lookup/1?seal=1";
+const addKey = ({ clusterState }: ServedRequests): void => {
+    const workspaces = [{ workspace: "alpha", keys: [validKey, addedKey] }];
+    clusterState.applyConfiguration({ ...configuration, version: 6, workspaces }, "store");
+};
+const addRoute = ({ clusterState }: ServedRequests): void => {
+    const [lookup] = configuration.routes;
+    const routes = [...configuration.routes, { ...lookup!, name: "added", prefix: "/added/" }];
+    clusterState.applyConfiguration({ ...configuration, version: 6, routes }, "store");
+};
+
+const cases: readonly {
+    name: string;
+    path?: string;
+    onAnswer: (served: ServedRequests) => boolean;
+    statuses: readonly number[];
+    code: string;
+}[] = [
+    {
+        name: "nothing confirms a wrong key",
+        onAnswer: () => false,
+        statuses: [503, 200],
+        code: "unconfirmedConfiguration",
+    },
+    {
+        name: "nothing confirms a wrong path",
+        path: "/added/1?seal=1",
+        onAnswer: () => false,
+        statuses: [503, 200],
+        code: "unconfirmedConfiguration",
+    },
+    { name: "a wrong key is confirmed to be wrong", onAnswer: () => true, statuses: [401, 200], code: "unknownKey" },
+    {
+        name: "the key comes with the answer",
+        onAnswer: served => {
+            addKey(served);
+            return true;
+        },
+        statuses: [200, 200],
+        code: "ok",
+    },
+    {
+        name: "the key comes from a peer that confirms nothing",
+        onAnswer: served => {
+            addKey(served);
+            return false;
+        },
+        statuses: [200, 200],
+        code: "ok",
+    },
+    {
+        name: "the route comes with the answer",
+        path: "/added/1?seal=1",
+        onAnswer: served => {
+            addRoute(served);
+            return true;
+        },
+        statuses: [200, 200],
+        code: "ok",
+    },
+];
+
+for (const { name, path = served200, onAnswer, statuses, code } of cases) {
+    test(`DENIED: ${name}; the body and the next request on the connection are intact`, () =>
+        withServed(onAnswer, async served => {
+            const key = path === served200 ? addedKey : validKey;
+            const requests = post(path, key, "first body") + post(served200, validKey, "second");
+            const received = await served.sendAll(requests, statuses.length);
+            const seen = [...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => Number(status));
+            assert.equal(seen, statuses);
+            // The second request doesn't wait, so it may end before the first one.
+            assert.equal(served.endedLines().map(line => line["code"]).sort(), [code, "ok"].sort());
+            assert.equal([...served.bodies].sort(), statuses[0] === 200 ? ["first body", "second"] : ["second"]);
+            assert.is(served.heldBytes(), 0);
+        }));
+}
+
+test("DENIED: a refusal that is not final closes the connection of a body that is still to come", () =>
+    withServed(() => false, async served => {
+        const text = post(served200, addedKey, "x".repeat(500)).slice(0, -300);
+        const received = await served.sendAll(text, 1);
+        assert.match(received, /^HTTP\/1\.1 503 /);
+        assert.match(received.toLowerCase(), /connection: close/);
+    }));
+
+test("DENIED: a request whose caller leaves during the wait ends once, and is not sent on", () =>
+    withServed(served => {
+        addKey(served);
+        return true;
+    }, async served => {
+        const socket = connect(served.port, "127.0.0.1");
+        socket.on("error", () => undefined);
+        socket.write(post(served200, addedKey, "{}"));
+        await sleep(systemTimer, leftMs);
+        socket.destroy();
+        await sleep(systemTimer, 2 * waitMs);
+        assert.equal(served.endedLines().map(line => line["code"]), ["callerGone"]);
+        assert.equal(served.bodies, []);
+        assert.is(served.heldBytes(), 0);
+    }));
+
+test.run();
--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -1,6 +1,6 @@
 /** Admits a request: finds its route and workspace and reads its body, then runs it or refuses it with a reason. */
 import { chooseService, intersectRegions, isFinalRefusal, urgencyOf } from "@rattanquay/core";
-import { type CallerBody, type CallerConnection } from "@rattanquay/peer";
+import { type CallerBody, type CallerConnection, type HeldRequest } from "@rattanquay/peer";
 import { type ServingRoute } from "@rattanquay/schema";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { isEvacuationKnown } from "../clusterState";
@@ -11,6 +11,7 @@
 import { type ExchangeDependencies } from "./exchangeDependencies";
 import { type AnswerSource, type DecisionBasis, describeDecision, isRecentlyConfirmed } from "./finalRefusal";
 import { type Refusal, refusals, refuse } from "./refusals";
+import { findTarget, type FoundTarget, readBasis } from "./target";
 
 type Arrival = {
     readonly request: IncomingMessage;
@@ -21,7 +22,7 @@
     readonly arrivedAtMs: number;
 };
 
-/** Retry delay while no configuration is known: a process that has just started should have read one by then. */
+/** Retry delay while no configuration is known or confirmed: the process should have read the newest one by then. */
 const startRetryAfterMs = 500;
 
 /** Serves one request. Each request writes exactly one `requestEnded` log line. */
@@ -46,20 +47,31 @@
         refuseArrival(arrival, "noConfiguration", dependencies, {});
         return;
     }
-    const { routes } = basis;
-    const route = routes.findRoute(request.headers.host, request.url ?? "/");
-    if (route === undefined) {
-        refuseArrival(arrival, "unknownRoute", dependencies, { basis });
+    const found = findTarget(arrival, basis, dependencies);
+    // Without a wait, the body is read from the same turn of the event loop on.
+    const target = found instanceof Promise ? await found : found;
+    if (target.kind === "refused") {
+        refuseArrival(arrival, target.refusal, dependencies, target);
         return;
     }
-    const isKeyOptional = route.isPublic || !routes.requiresKeys;
-    const workspace = caller.key === undefined ? undefined : routes.findWorkspace(caller.key);
-    if (!isKeyOptional && workspace === undefined) {
-        refuseArrival(arrival, "unknownKey", dependencies, { basis, route });
+    if (target.kind === "gone") {
+        recordGone(arrival, dependencies, target);
         return;
     }
-    const { bounds } = routes.config;
-    const reading = await held.readBody({ maxBytes: bounds.maxBodyBytes, limitMs: bodyLimitMs(caller, route) });
+    await serveTarget(arrival, target, held, dependencies);
+}
+
+async function serveTarget(
+    arrival: Arrival,
+    { basis, route, workspace }: FoundTarget,
+    held: HeldRequest,
+    dependencies: ExchangeDependencies,
+): Promise<void> {
+    const { caller } = arrival;
+    const { routes } = basis;
+    const waitedMs = dependencies.context.timer.nowMs() - arrival.arrivedAtMs;
+    const limitMs = Math.max(0, bodyLimitMs(caller, route) - waitedMs);
+    const reading = await held.readBody({ maxBytes: routes.config.bounds.maxBodyBytes, limitMs });
     if (reading.kind !== "read") {
         refuseUnreadBody(arrival, reading, dependencies, { basis, route });
         return;
@@ -87,15 +99,6 @@
     runExchange(admitted, dependencies, outcome => recordEnd(arrival, outcome, dependencies, { basis, route }));
 }
 
-/** Undefined while no configuration is in force. */
-function readBasis({ clusterState, context: { timer } }: ExchangeDependencies): DecisionBasis | undefined {
-    const routes = clusterState.routes();
-    const evidence = clusterState.configurationEvidence();
-    return routes === undefined || evidence === undefined
-        ? undefined
-        : { routes, evidence, readAtMs: timer.nowMs() };
-}
-
 function bodyLimitMs({ deadlineMs }: CallerRequest, { timeoutMs }: ServingRoute): number {
     return Math.min(timeoutMs, deadlineMs ?? timeoutMs);
 }
@@ -115,13 +118,17 @@
 ): void {
     const refusal = bodyRefusals[body.kind];
     if (refusal === undefined) {
-        recordEnd(arrival, { ending: "callerGone", code: "callerGone", status: 0 }, dependencies, decision);
+        recordGone(arrival, dependencies, decision);
         return;
     }
     const bodyBytes = body.kind === "tooLarge" ? body.bytes : undefined;
     refuseArrival(arrival, refusal, dependencies, { ...decision, bodyBytes });
 }
 
+function recordGone(arrival: Arrival, dependencies: ExchangeDependencies, decision: Decision): void {
+    recordEnd(arrival, { ending: "callerGone", code: "callerGone", status: 0 }, dependencies, decision);
+}
+
 function refuseArrival(
     arrival: Arrival,
     refusal: Refusal,
--- a/packages/gateway/src/exchange/exchangeDependencies.ts
+++ b/packages/gateway/src/exchange/exchangeDependencies.ts
@@ -6,7 +6,7 @@
     type WorkspaceShares,
 } from "@rattanquay/core";
 import { type CallerMemory } from "@rattanquay/peer";
-import { type ClusterState } from "../clusterState";
+import { type ClusterState, type ConfigurationCheck } from "../clusterState";
 import { type ColdGate } from "../cold";
 import { type GatewayContext } from "../gatewayContext";
 import { type Lifetime } from "../lifetime";
@@ -20,6 +20,7 @@
 export type ExchangeDependencies = {
     readonly context: GatewayContext;
     readonly clusterState: ClusterState;
+    readonly configurationCheck: ConfigurationCheck;
     readonly registry: UpstreamRegistry;
     readonly coldGate: ColdGate;
     readonly budget: SharedRetryBudget;
--- a/packages/gateway/src/exchange/refusals.ts
+++ b/packages/gateway/src/exchange/refusals.ts
@@ -7,6 +7,11 @@
 /** Reasons to refuse a request. The statuses 408, 429 and 503 guarantee that it has not run and never will. */
 export const refusals = {
     noConfiguration: { status: 503, ending: "notRun", message: "No configuration is known here yet." },
+    unconfirmedConfiguration: {
+        status: 503,
+        ending: "notRun",
+        message: "The configuration known here does not allow it, and whether it is the newest could not be confirmed.",
+    },
     noUpstream: { status: 503, ending: "notRun", message: "No upstream serves this now." },
     evacuated: { status: 503, ending: "notRun", message: "Every upstream that serves this is in an evacuated zone." },
     noAllowedRegion: {
--- /dev/null
+++ b/packages/gateway/src/exchange/target.ts
@@ -0,0 +1,84 @@
+/**
+ * Finds the route and the workspace of a request.
+ *
+ * A request that the configuration in force does not allow is refused for good only if that configuration is known to be the
+ * newest: its caller never repeats it then. Otherwise it waits a moment for the answer of the store or of a relay.
+ */
+import { type ServingRoute, type ServingWorkspace } from "@rattanquay/schema";
+import { type IncomingMessage } from "node:http";
+import { type CallerRequest } from "../ports";
+import { type ExchangeDependencies } from "./exchangeDependencies";
+import { type DecisionBasis } from "./finalRefusal";
+import { type Refusal } from "./refusals";
+
+export type FoundTarget = {
+    readonly kind: "found";
+    readonly basis: DecisionBasis;
+    readonly route: ServingRoute;
+    readonly workspace: ServingWorkspace | undefined;
+};
+
+type RefusedTarget = {
+    readonly kind: "refused";
+    readonly basis: DecisionBasis;
+    readonly refusal: Refusal;
+    readonly route?: ServingRoute;
+};
+
+/** `gone`: the caller has left while the request waited. */
+export type Target = FoundTarget | RefusedTarget | { readonly kind: "gone"; readonly basis: DecisionBasis };
+
+export type TargetRequest = { readonly request: IncomingMessage; readonly caller: CallerRequest };
+
+/** Undefined while no configuration is in force. */
+export function readBasis(
+    { clusterState, context: { timer } }: Pick<ExchangeDependencies, "clusterState" | "context">,
+): DecisionBasis | undefined {
+    const routes = clusterState.routes();
+    const evidence = clusterState.configurationEvidence();
+    return routes === undefined || evidence === undefined
+        ? undefined
+        : { routes, evidence, readAtMs: timer.nowMs() };
+}
+
+/** Returns the target at once unless the request has to wait. `basis` is the configuration in force. */
+export function findTarget(
+    arrival: TargetRequest,
+    basis: DecisionBasis,
+    dependencies: ExchangeDependencies,
+): Target | Promise<Target> {
+    const target = lookUp(arrival, basis);
+    return target.kind === "found" || dependencies.configurationCheck.isConfirmed()
+        ? target
+        : findConfirmedTarget(arrival, basis, dependencies);
+}
+
+async function findConfirmedTarget(
+    arrival: TargetRequest,
+    before: DecisionBasis,
+    dependencies: ExchangeDependencies,
+): Promise<Target> {
+    const { configurationCheck } = dependencies;
+    await configurationCheck.confirm();
+    const basis = readBasis(dependencies) ?? before;
+    if (arrival.request.destroyed) {
+        return { kind: "gone", basis };
+    }
+    const target = lookUp(arrival, basis);
+    return target.kind === "found" || configurationCheck.isConfirmed()
+        ? target
+        : { ...target, refusal: "unconfirmedConfiguration" };
+}
+
+function lookUp({ request, caller }: TargetRequest, basis: DecisionBasis): FoundTarget | RefusedTarget {
+    const { routes } = basis;
+    const route = routes.findRoute(request.headers.host, request.url ?? "/");
+    if (route === undefined) {
+        return { kind: "refused", basis, refusal: "unknownRoute" };
+    }
+    const isKeyOptional = route.isPublic || !routes.requiresKeys;
+    const workspace = caller.key === undefined ? undefined : routes.findWorkspace(caller.key);
+    return !isKeyOptional && workspace === undefined
+        ? { kind: "refused", basis, refusal: "unknownKey", route }
+        : { kind: "found", basis, route, workspace };
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,8 +10,11 @@
 import { startCallerMemory } from "./callerLimits";
 import {
     type ClusterState,
+    type ClusterStateWatch,
+    type ConfigurationCheck,
     confirmedAgeMs,
     isEvacuationKnown,
+    makeConfigurationCheck,
     reportUnknownRegions,
     watchClusterState,
 } from "./clusterState";
@@ -88,9 +91,11 @@
         context,
         () => anyTrue([clusterStateWatch.confirm(), components.peers?.confirmState() ?? Promise.resolve(false)]),
     );
+    const configurationCheck = connectConfigurationCheck(clusterStateWatch, timer, components);
     const dependencies: ExchangeDependencies = {
         context,
         clusterState,
+        configurationCheck,
         registry,
         coldGate,
         budget,
@@ -125,7 +130,7 @@
         isPlanner,
         receiveProbeReport: report => components.planning?.receiveProbeReport(report),
         coldGrants: coldGate,
-    }, { quarantine, workspaceShares });
+    }, { quarantine, workspaceShares, confirmWithStore: configurationCheck.confirmWithStore });
     const planning = startPlanning({
         context,
         clusterState,
@@ -187,6 +192,18 @@
     return coldGate;
 }
 
+function connectConfigurationCheck(
+    { clusterState, configuration }: ClusterStateWatch,
+    timer: Timer,
+    components: StartedComponents,
+): ConfigurationCheck {
+    return makeConfigurationCheck(clusterState, timer, {
+        readsStore: configuration.isActive,
+        askStore: configuration.confirmAnyway,
+        askRelays: async () => components.peers?.confirmConfiguration(),
+    });
+}
+
 /** Placements are held back after a pause of the process only where zones may be evacuated. */
 function startGuard(context: GatewayContext, confirm: () => Promise<boolean>): PlacementGuard {
     return context.settings.bounds.evacuateMs === undefined
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -26,7 +26,7 @@
 import { makeOrderPasser, type PassedOrder } from "./passOrder";
 import { startPeerDirectory } from "./peerDirectory";
 import { startQuarantineExchange } from "./quarantineExchange";
-import { answerStateRequest } from "./stateAnswers";
+import { makeStateAnswerer } from "./stateAnswers";
 import { startStateFollower } from "./stateFollower";
 import { startStateRelay } from "./stateRelay";
 import { startStateSync } from "./stateSync";
@@ -54,6 +54,8 @@
 export type GossipedState = {
     readonly quarantine: Quarantine;
     readonly workspaceShares: WorkspaceShares;
+    /** Asks the store whether the configuration is the newest, for peers that rely on the answer. */
+    readonly confirmWithStore: () => Promise<void>;
 };
 
 export type Peers = InstanceLinks & {
@@ -64,6 +66,8 @@
     readonly isFirstOfZone: () => boolean;
     /** Requests the cluster state from the relays at once. Resolves to whether one has answered. */
     readonly confirmState: () => Promise<boolean>;
+    /** Has the relays confirm the configuration with the store. Resolves to whether one has answered. */
+    readonly confirmConfiguration: () => Promise<boolean>;
     readonly passOrder: (upstream: UpstreamRecord, order: EngineOrder) => Promise<PassedOrder>;
     /** Removes this process from the directory, so that peers no longer send requests to it. */
     readonly leave: () => Promise<void>;
@@ -77,7 +81,7 @@
     watch: ClusterStateWatch,
     registry: UpstreamRegistry,
     planner: PlannerAccess,
-    { quarantine, workspaceShares }: GossipedState,
+    { quarantine, workspaceShares, confirmWithStore }: GossipedState,
 ): Promise<Peers> {
     const { clusterState } = watch;
     const { settings: { listeners, availabilityZone, instance }, timer, log, ports: { engines } } = context;
@@ -94,7 +98,7 @@
     const handlers: {
         readonly [K in GatewayRequest["kind"]]: (ask: Extract<GatewayRequest, { kind: K }>) => Promise<GatewayAnswer>;
     } = {
-        clusterState: async ask => answerStateRequest(ask, clusterState),
+        clusterState: makeStateAnswerer(clusterState, confirmWithStore, timer),
         quarantines: async () => ({ kind: "quarantines", news: quarantineExchange.snapshot() }),
         coldGrant: async ask => coldGrants.answer(ask),
         instances: async () => ({ kind: "instances", instances: [...directory.all()] }),
@@ -127,10 +131,11 @@
             usage.receive(message);
         },
         quarantineNews: quarantineExchange.receive,
-        subscribe: (unused, link) => {
-            relay.subscribe(link);
+        subscribe: ({ sentAtMs }, link) => {
+            relay.subscribe(link, sentAtMs);
             follower.noteSubscriber();
         },
+        subscribed: follower.receiveSubscriptionAnswer,
         stateNotice: follower.receiveNotice,
         probeReport: planner.receiveProbeReport,
     };
@@ -156,6 +161,7 @@
         ...makeInstanceLinks(directory, links),
         candidacy: () => candidacyOf(availabilityZone, directory.peers(), follower.isRelay()),
         confirmState: follower.confirm,
+        confirmConfiguration: follower.confirmConfiguration,
         passOrder: makeOrderPasser(context, directory, links),
         leave: () => {
             relay.leave();
--- a/packages/gateway/src/peers/stateAnswers.ts
+++ b/packages/gateway/src/peers/stateAnswers.ts
@@ -1,5 +1,6 @@
 /** Requests for cluster state between peers: what a peer answers, and how an answer is applied. */
 import { checkRecord, type GatewayAnswer, type GatewayRequest } from "@rattanquay/schema";
+import { type Timer } from "@rattanquay/timer";
 import { type ClusterState } from "../clusterState";
 import { type RowFaults } from "../rowFaults";
 
@@ -9,20 +10,32 @@
 type StateRequest = Extract<GatewayRequest, { kind: "clusterState" }>;
 type StateAnswer = Extract<GatewayAnswer, { kind: "clusterState" }>;
 
-/** The request for everything that is newer than the local state. */
-export function makeStateRequest(clusterState: ClusterState): StateRequest {
+/** The request for everything that is newer than the local state; `mustConfirm` also has the configuration confirmed. */
+export function makeStateRequest(clusterState: ClusterState, mustConfirm?: boolean): StateRequest {
     return {
         kind: "clusterState",
         configVersion: clusterState.routes()?.version ?? 0,
         asOf: clusterState.asOf(),
         newestEvacuation: clusterState.evacuations.newest(),
+        mustConfirm,
     };
 }
 
-export function answerStateRequest(request: StateRequest, clusterState: ClusterState): StateAnswer {
+/** Returns a function that answers requests of peers, and confirms the configuration before if they ask for that. */
+export function makeStateAnswerer(clusterState: ClusterState, confirmWithStore: () => Promise<void>, timer: Timer) {
+    return async (request: StateRequest): Promise<StateAnswer> => {
+        if (request.mustConfirm === true) {
+            await confirmWithStore();
+        }
+        return answerStateRequest(request, clusterState, timer.nowMs());
+    };
+}
+
+export function answerStateRequest(request: StateRequest, clusterState: ClusterState, nowMs: number): StateAnswer {
     const config = clusterState.configuration();
     const { evacuations } = clusterState;
     const newest = evacuations.newest();
+    const confirmedAtMs = clusterState.configurationEvidence()?.confirmedAtMs;
     return {
         kind: "clusterState",
         config: config !== undefined && config.version > request.configVersion ? config : undefined,
@@ -33,11 +46,20 @@
         evacuations: newest !== undefined && newest > (request.newestEvacuation ?? -1)
             ? { newest, zones: [...evacuations.zones()] }
             : undefined,
+        configAgeMs: confirmedAtMs === undefined ? undefined : Math.max(0, nowMs - confirmedAtMs),
     };
 }
 
-/** A record that names no usable upstream counts as removed: a peer of another version may keep one. */
-export function applyStateAnswer(answer: StateAnswer, clusterState: ClusterState, faults: RowFaults): void {
+/**
+ * Applies an answer to a request that was sent at `askedAtMs`. A record that names no usable upstream counts as removed: a peer
+ * of another version may keep one.
+ */
+export function applyStateAnswer(
+    answer: StateAnswer,
+    clusterState: ClusterState,
+    faults: RowFaults,
+    askedAtMs: number,
+): void {
     const records: StateAnswer["records"] = [];
     const removals = [...answer.removals];
     for (const { value, revision } of answer.records) {
@@ -56,6 +78,10 @@
     if (answer.config !== undefined) {
         clusterState.applyConfiguration(answer.config, "peer");
     }
+    // The peer's version is not newer than the one in force here now.
+    if (answer.configAgeMs !== undefined) {
+        clusterState.configurationAge.notePeerAnswer(askedAtMs - answer.configAgeMs);
+    }
     if (answer.isWhole) {
         clusterState.applySnapshot(records, answer.asOf, "peer");
         return;
--- a/packages/gateway/src/peers/stateFollower.ts
+++ b/packages/gateway/src/peers/stateFollower.ts
@@ -4,20 +4,26 @@
  * The notices of two relays are compared with the local state. What is missing is requested from the preferred relay
  * at once, and from the other one if it is still missing a moment later.
  */
-import { makeStateSource } from "@rattanquay/core";
-import { type GatewayInstance, type StateNotice } from "@rattanquay/schema";
+import { makePeerClocks, makeStateSource, type PeerClocks } from "@rattanquay/core";
+import { type GatewayInstance, type StateNotice, type SubscriptionAnswer } from "@rattanquay/schema";
 import { anyTrue } from "../anyTrue";
 import { type ClusterStateWatch } from "../clusterState";
 import { type GatewayContext } from "../gatewayContext";
 import { type Links } from "./links";
 import { type InstanceSource, type PeerDirectory } from "./peerDirectory";
-import { makeStateRequester, stateRequestTimeoutMs } from "./stateRequester";
+import { makeConfirmationRequester, makeStateRequester, stateRequestTimeoutMs } from "./stateRequester";
 
 export type StateFollower = {
     readonly receiveNotice: (notice: StateNotice) => void;
+    readonly receiveSubscriptionAnswer: (answer: SubscriptionAnswer) => void;
     readonly noteSubscriber: () => void;
     /** Requests the state from both relays at once. Resolves to whether one has answered. */
     readonly confirm: () => Promise<boolean>;
+    /**
+     * The same, and has the relays confirm the configuration with the store. Resolves to whether it is confirmed here, at the
+     * latest when no relay has answered in time.
+     */
+    readonly confirmConfiguration: () => Promise<boolean>;
     /** Requests the list of processes from a relay; undefined if there is none or it does not know. */
     readonly requestInstances: InstanceSource;
     /** Whether this process is a relay of its zone. */
@@ -47,6 +53,7 @@
     const { context: { settings, timer, log }, watch, directory, links } = options;
     const { clusterState } = watch;
     const source = makeStateSource(settings.instance);
+    const clocks = makePeerClocks();
     const subscribedAtMs = new Map<string, number>();
     const requesting = new Set<string>();
     let knownPeers: readonly GatewayInstance[] | undefined;
@@ -70,7 +77,7 @@
         const address = addressOf(instance);
         if (address !== undefined && timer.nowMs() - (subscribedAtMs.get(instance) ?? -Infinity) >= subscribeEveryMs) {
             subscribedAtMs.set(instance, timer.nowMs());
-            links.tell([address], { kind: "subscribe" });
+            links.tell([address], { kind: "subscribe", sentAtMs: timer.nowMs() });
         }
     };
     const lacksEvacuation = ({ newestEvacuation }: StateNotice): boolean =>
@@ -99,6 +106,7 @@
         }
     };
     const requestState = makeStateRequester(options.context, clusterState, links, addressOf);
+    const requestConfirmation = makeConfirmationRequester(requestState, clusterState, timer);
     const requestFrom = async (instance: string): Promise<void> => {
         if (requesting.has(instance)) {
             return;
@@ -118,7 +126,7 @@
     return {
         receiveNotice: notice => {
             source.noteNotice(notice, timer.nowMs());
-            clusterState.configurationAge.noteNotice(notice, timer.nowMs());
+            clusterState.configurationAge.noteNotice(notice, confirmationTime(notice, clocks, timer.nowMs()));
             if (!isBehind(notice)) {
                 return;
             }
@@ -133,7 +141,9 @@
                 }
             });
         },
-        confirm: () => anyTrue(relays.map(requestState)),
+        receiveSubscriptionAnswer: ({ instance, clockMs, sentAtMs }) => clocks.noteReading(instance, clockMs, sentAtMs),
+        confirm: () => anyTrue(relays.map(instance => requestState(instance))),
+        confirmConfiguration: () => anyTrue(relays.map(requestConfirmation)),
         requestInstances: async () => {
             const address = relays[0] === undefined ? undefined : addressOf(relays[0]);
             const answer = address === undefined
@@ -147,3 +157,12 @@
         stop: cancelSteps,
     };
 }
+
+/** The earliest local time for which a relay's notice can state that its configuration was the newest, if it does. */
+function confirmationTime(
+    { instance, configConfirmedAtMs }: StateNotice,
+    clocks: PeerClocks,
+    nowMs: number,
+): number | undefined {
+    return configConfirmedAtMs === undefined ? undefined : clocks.toLocalMs(instance, configConfirmedAtMs, nowMs);
+}
--- a/packages/gateway/src/peers/stateRelay.ts
+++ b/packages/gateway/src/peers/stateRelay.ts
@@ -10,7 +10,8 @@
 import { encodeMessage, type FrameLink } from "./frameLink";
 
 export type StateRelay = {
-    readonly subscribe: (link: FrameLink) => void;
+    /** `sentAtMs` is the subscriber's clock, if the subscription states it. */
+    readonly subscribe: (link: FrameLink, sentAtMs?: number) => void;
     /** Sends a last notice, after which no subscription is accepted. */
     readonly leave: () => void;
     readonly stop: () => void;
@@ -41,6 +42,7 @@
         configVersion: clusterState.routes()?.version ?? 0,
         newestChange: clusterState.newestChange(),
         newestEvacuation: clusterState.evacuations.newest() ?? 0,
+        configConfirmedAtMs: clusterState.configurationEvidence()?.confirmedAtMs,
         isCurrent: watch.isCurrent(),
         isLeaving: hasLeft,
     });
@@ -91,7 +93,10 @@
     });
     const cancelNotices = timer.every(noticeEveryMs, notifyAll);
     return {
-        subscribe: link => {
+        subscribe: (link, sentAtMs) => {
+            if (sentAtMs !== undefined) {
+                link.tell(encodeMessage({ kind: "subscribed", instance, sentAtMs, clockMs: timer.nowMs() }));
+            }
             if (hasLeft) {
                 link.tell(encodeMessage(makeNotice()));
                 return;
--- a/packages/gateway/src/peers/stateRequester.ts
+++ b/packages/gateway/src/peers/stateRequester.ts
@@ -1,12 +1,14 @@
 /** Requests what is newer than the local cluster state from one process, and applies it. */
+import { mayRefuseFinally } from "@rattanquay/core";
+import { type Timer } from "@rattanquay/timer";
 import { type ClusterState } from "../clusterState";
 import { type GatewayContext } from "../gatewayContext";
 import { makeRowFaults } from "../rowFaults";
 import { type Links } from "./links";
 import { applyStateAnswer, makeStateRequest } from "./stateAnswers";
 
-/** Resolves to whether the process answered. */
-export type StateRequester = (instance: string) => Promise<boolean>;
+/** Resolves to whether the process answered; `mustConfirm` has it confirm its configuration before. */
+export type StateRequester = (instance: string, mustConfirm?: boolean) => Promise<boolean>;
 
 /** Large configurations take most of this on the slowest links. */
 export const stateRequestTimeoutMs = 900;
@@ -18,15 +20,28 @@
     addressOf: (instance: string) => string | undefined,
 ): StateRequester {
     const faults = makeRowFaults(context);
-    return async instance => {
+    return async (instance, mustConfirm) => {
         const address = addressOf(instance);
+        const askedAtMs = context.timer.nowMs();
         const answer = address === undefined
             ? undefined
-            : await links.ask(address, makeStateRequest(clusterState), stateRequestTimeoutMs);
+            : await links.ask(address, makeStateRequest(clusterState, mustConfirm), stateRequestTimeoutMs);
         if (answer?.kind !== "clusterState") {
             return false;
         }
-        applyStateAnswer(answer, clusterState, faults);
+        applyStateAnswer(answer, clusterState, faults, askedAtMs);
         return true;
     };
 }
+
+/** Has a process confirm its configuration. The function resolves to whether that confirms the local one. */
+export function makeConfirmationRequester(
+    requestState: StateRequester,
+    clusterState: ClusterState,
+    timer: Timer,
+): (instance: string) => Promise<boolean> {
+    return async instance => {
+        await requestState(instance, true);
+        return mayRefuseFinally(clusterState.configurationEvidence(), timer.nowMs());
+    };
+}
--- a/packages/gateway/src/peers/stateSync.ts
+++ b/packages/gateway/src/peers/stateSync.ts
@@ -39,9 +39,10 @@
         if (!isStateMissing() || address === undefined) {
             return;
         }
+        const askedAtMs = timer.nowMs();
         const answer = await links.ask(address, makeStateRequest(clusterState), askTimeoutMs);
         if (answer?.kind === "clusterState") {
-            applyStateAnswer(answer, clusterState, faults);
+            applyStateAnswer(answer, clusterState, faults, askedAtMs);
         }
     };
     /** A process that has just started knows no quarantine, and its peers may not know of it yet. */
--- a/packages/schema/src/gatewayPeer.ts
+++ b/packages/schema/src/gatewayPeer.ts
@@ -28,6 +28,8 @@
         asOf: z.number(),
         /** The revision up to which the sender knows all evacuations; absent if it knows none of them or is older. */
         newestEvacuation: z.number().optional(),
+        /** Whether to confirm the configuration with the store before the answer, if that was long ago. */
+        mustConfirm: z.boolean().optional(),
     }),
     /** Requests the list of gateway processes. */
     z.object({ kind: z.literal("instances") }),
@@ -89,7 +91,22 @@
 export type GatewayLoads = z.infer<typeof GatewayLoads>;
 
 /** Asks a relay for notices about the cluster state for the next few seconds. */
-export const StateSubscription = z.object({ kind: z.literal("subscribe") });
+export const StateSubscription = z.object({
+    kind: z.literal("subscribe"),
+    /** The sender's steady clock; the relay answers with its own. Absent in messages of earlier builds. */
+    sentAtMs: z.number().optional(),
+});
+
+/** Answers a subscription that says when it was sent. */
+export const SubscriptionAnswer = z.object({
+    kind: z.literal("subscribed"),
+    instance: z.string(),
+    /** As in the subscription. */
+    sentAtMs: z.number(),
+    /** The relay's steady clock. */
+    clockMs: z.number(),
+});
+export type SubscriptionAnswer = z.infer<typeof SubscriptionAnswer>;
 
 /** Sent by a relay to its subscribers after each change, and at intervals without changes. */
 export const StateNotice = z.object({
@@ -101,6 +118,11 @@
     newestChange: z.number(),
     /** The revision up to which the relay knows all evacuations; 0 from relays that know of none or are older. */
     newestEvacuation: z.number().default(0),
+    /**
+     * The latest time, on the relay's steady clock, at which no newer configuration existed. Absent if that was never confirmed,
+     * and in messages of earlier builds.
+     */
+    configConfirmedAtMs: z.number().optional(),
     /** Whether the store answered the relay's last calls. */
     isCurrent: z.boolean(),
     /** Whether the relay is shutting down and sends no further notices. */
@@ -179,6 +201,7 @@
     QuarantineNews,
     GatewayLoads,
     StateSubscription,
+    SubscriptionAnswer,
     StateNotice,
     ProbeReport,
 ]);
@@ -198,6 +221,11 @@
          * than the asking process, or is older.
          */
         evacuations: z.object({ newest: z.number(), zones: z.array(ZoneEvacuation) }).optional(),
+        /**
+         * How long ago no configuration existed that was newer than the sender's. Absent if that was never confirmed, and in
+         * answers of earlier builds.
+         */
+        configAgeMs: z.number().min(0).optional(),
     }),
     /** All registered processes, including the sender; empty if it has not read them yet. */
     z.object({ kind: z.literal("instances"), instances: z.array(GatewayInstance) }),
