Refuse for good at the chat interface only what the table has confirmed lately

Callers would see: 401 `wrongKey`, 403 `notAssigned` or 404 `unknownModel` for what an accepted ticket allows, by an entry instance that has had no answer of the table, however long ago its last one was. Read in the code and shown by unit tests; not seen in a run of the cluster.

Why it works: what is missing is looked up again after the answer, and nothing but an answer of the table makes a refusal final.

--- a/packages/entry/src/callers/__tests__/decidedOn.test.ts
+++ b/packages/entry/src/callers/__tests__/decidedOn.test.ts
@@ -29,10 +29,12 @@
     workspaceOfKey: new Map([[hashKey(validKey), "w"]]),
 } as unknown as Snapshot;
 
+/** What a test's answer of the table changes. */
+type Held = { snapshot: Snapshot; confirmedAtMs: number };
 type Line = Readonly<Record<string, unknown>> & { readonly decidedOn?: Readonly<Record<string, unknown>> };
 
 /** Sends a request as text, and resolves to the status and the `requestEnded` lines once one is written. */
-async function serve(text: string, age: Partial<Configuration>) {
+async function serve(text: string, age: Partial<Configuration>, onConfirm: (held: Held) => void = () => undefined) {
     const lines: Line[] = [];
     const log: Log = { ...silentLog, info: (event, fields) => void (event === "requestEnded" && lines.push(fields!)) };
     const context = {
@@ -45,10 +47,14 @@
             throw new Error(`${task}: ${String(error)}`);
         },
     } as unknown as ProcessContext;
-    const configuration = { snapshot, isKnown: true, confirmedByTable: false, confirmedAtMs: 0, ...age };
+    const confirmed = { confirmedByTable: true, confirmedAtMs: systemTimer.nowMs() };
+    const configuration = { snapshot, isKnown: true, ...confirmed, ...age };
     const listener = await startCallerListener(
         context,
-        { latest: () => configuration } as unknown as Parameters<typeof startCallerListener>[1],
+        {
+            feed: { latest: () => configuration },
+            confirm: async () => onConfirm(configuration),
+        } as unknown as Parameters<typeof startCallerListener>[1],
         {} as Dispatch,
         { isReady: () => true, mayServe: () => true },
         () => undefined,
@@ -131,9 +137,10 @@
     test(`DENIED: a final refusal of the chat interface without its inputs, or with a key, in the log: ${name}`, async () => {
         const result = await serve(text, { inForceSinceMs: systemTimer.nowMs() });
         assert.equal([result.status, result.lines.map(line => line["code"])], [status, [code]]);
-        const { ageMs, ...rest } = result.lines[0]!.decidedOn ?? {};
+        const { ageMs, confirmedAgeMs, ...rest } = result.lines[0]!.decidedOn ?? {};
         assert.equal(JSON.parse(JSON.stringify(rest)), decidedOn ?? {});
         assert.is(ageMs === undefined, decidedOn === undefined);
+        assert.is(confirmedAgeMs === undefined, decidedOn === undefined);
         assert.not.match(JSON.stringify(result.lines), /-key-0/);
     });
 }
@@ -146,7 +153,8 @@
 for (const { name, confirmedByTable, confirmedAgoMs, isKnown } of ages) {
     test(`DENIED: a refusal's line tells how old its configuration was: ${name}`, async () => {
         const nowMs = systemTimer.nowMs();
-        const { lines } = await serve(textOf(chat, wrongKey), {
+        // A request without a key is refused for good whatever the configuration holds, and so however old that is.
+        const { lines } = await serve(textOf(chat, undefined), {
             confirmedByTable,
             confirmedAtMs: nowMs - confirmedAgoMs,
             inForceSinceMs: nowMs - 9_000,
@@ -158,4 +166,74 @@
     });
 }
 
+const addedKey = "added-key-00000000000";
+const added = {
+    ...snapshot,
+    revision: 8,
+    workspaces: new Map([["w", { services: ["m", "p"] }]]),
+    workspaceOfKey: new Map([[hashKey(validKey), "w"], [hashKey(addedKey), "w"]]),
+} as unknown as Snapshot;
+const longAgoMs = 5_000;
+/** What the table's answer changes while the request waits, for a snapshot that was confirmed long ago. */
+const waits: readonly {
+    name: string;
+    text: string;
+    after: { readonly snapshot?: Snapshot; readonly isConfirmed: boolean };
+    code: string;
+    status: number;
+}[] = [
+    {
+        name: "an unknown key, and the table doesn't answer",
+        text: textOf(chat, wrongKey),
+        after: { isConfirmed: false },
+        code: "unconfirmedConfiguration",
+        status: 503,
+    },
+    {
+        name: "an unknown model, and the table doesn't answer",
+        text: textOf(chat, validKey, callOf("n")),
+        after: { isConfirmed: false },
+        code: "unconfirmedConfiguration",
+        status: 503,
+    },
+    {
+        name: "a plain service of other workspaces, and the table doesn't answer",
+        text: textOf("GET /services/p/x", validKey),
+        after: { isConfirmed: false },
+        code: "unconfirmedConfiguration",
+        status: 503,
+    },
+    {
+        name: "an unknown key, and the table confirms that",
+        text: textOf(chat, wrongKey),
+        after: { isConfirmed: true },
+        code: "wrongKey",
+        status: 401,
+    },
+    {
+        name: "a key that comes with the table's answer",
+        text: textOf("GET /v1/models", addedKey),
+        after: { snapshot: added, isConfirmed: true },
+        code: "ok",
+        status: 200,
+    },
+    {
+        name: "a key that comes from a peer, which confirms nothing",
+        text: textOf("GET /v1/models", addedKey),
+        after: { snapshot: added, isConfirmed: false },
+        code: "ok",
+        status: 200,
+    },
+];
+
+for (const { name, text, after, code, status } of waits) {
+    test(`DENIED: a final refusal by a configuration that was confirmed long ago: ${name}`, async () => {
+        const result = await serve(text, { confirmedAtMs: systemTimer.nowMs() - longAgoMs }, configuration => {
+            configuration.snapshot = after.snapshot ?? configuration.snapshot;
+            configuration.confirmedAtMs = after.isConfirmed ? systemTimer.nowMs() : configuration.confirmedAtMs;
+        });
+        assert.equal([result.status, result.lines.map(line => line["code"])], [status, [code]]);
+    });
+}
+
 test.run();
--- a/packages/entry/src/callers/__tests__/plain.test.ts
+++ b/packages/entry/src/callers/__tests__/plain.test.ts
@@ -89,7 +89,7 @@
             tracing,
         },
         retryBudget: makeRetryBudget(0),
-        configuration: { latest: () => ({ snapshot: snapshotWith(declared) }) },
+        configuration: { feed: { latest: () => ({ snapshot: snapshotWith(declared) }) } },
         claims: { claim: async () => ({ kind: "granted", settler }) },
         dispatch: {
             admit: async () => {
--- a/packages/entry/src/callers/callerListener.ts
+++ b/packages/entry/src/callers/callerListener.ts
@@ -2,10 +2,9 @@
 import { makeRetryBudget, type RetryBudget } from "@rattanquay/core";
 import { type CallerGate, type HeldRequest, makeCallerConnections, makeCallerGate } from "@rattanquay/peer";
 import { headerNames } from "@rattanquay/schema";
-import { type ObservableValue } from "@rattanquay/task";
 import { randomUUID } from "node:crypto";
 import { type IncomingMessage, type ServerResponse } from "node:http";
-import { type Configuration } from "../config";
+import { type ConfigTask, type Configuration } from "../config";
 import { trackConnections } from "../connectionTracker";
 import { type Dispatch } from "../dispatch";
 import { hashKey, parseBearerKey } from "../keys";
@@ -14,7 +13,8 @@
 import { startCallerMemory } from "./callerMemory";
 import { serveChat } from "./chat";
 import { type Claims, makeClaims } from "./claims";
-import { type Exchange, recordOutcome, type RequestOutcome, sendError } from "./exchange";
+import { lookUp, refuseMissing } from "./confirmedLookup";
+import { ageOf, type Exchange, recordOutcome, type RequestOutcome, sendError } from "./exchange";
 import { servePlain } from "./plain";
 
 export type CallerListener = {
@@ -32,11 +32,14 @@
     readonly mayServe: () => boolean;
 };
 
+/** The configuration as this process knows it, and a way to have it confirmed by the table. */
+export type ConfirmableConfiguration = Pick<ConfigTask, "feed" | "confirm">;
+
 /** The dependencies of request handlers. */
 export type HandlerContext = {
     readonly processContext: ProcessContext;
     readonly dispatch: Dispatch;
-    readonly configuration: ObservableValue<Configuration>;
+    readonly configuration: ConfirmableConfiguration;
     readonly claims: Claims;
     readonly retryBudget: RetryBudget;
     /** The caller address of an entry instance in another availability zone that serves the service. */
@@ -53,7 +56,7 @@
 
 export async function startCallerListener(
     processContext: ProcessContext,
-    configuration: ObservableValue<Configuration>,
+    configuration: ConfirmableConfiguration,
     dispatch: Dispatch,
     readiness: Readiness,
     spillTarget: HandlerContext["spillTarget"],
@@ -72,7 +75,7 @@
             return;
         }
         const held = memory.hold(request, response);
-        const exchange = makeExchange(request, response, held, path, processContext, configuration);
+        const exchange = makeExchange(request, response, held, path, processContext, configuration.feed.latest());
         // Later in a shutdown, connections that are still open bring requests that could outlast this process.
         const refusal = isInExcess ? "busy" : readiness.mayServe() ? undefined : "notReady";
         const outcome = refusal === undefined
@@ -117,13 +120,12 @@
     held: HeldRequest,
     path: string,
     { timer, tracing }: ProcessContext,
-    configuration: ObservableValue<Configuration>,
+    configuration: Configuration,
 ): Exchange {
     const receivedId = request.headers[headerNames.requestId];
     const requestId = typeof receivedId === "string" && receivedId.length <= 128 ? receivedId : randomUUID();
     const span = tracing.startServerSpan(`${request.method} ${path}`, request.headers);
     response.setHeader(headerNames.requestId, requestId);
-    const { snapshot, confirmedByTable, confirmedAtMs, inForceSinceMs } = configuration.latest();
     const arrivedAtMs = timer.nowMs();
     return {
         requestId,
@@ -133,11 +135,8 @@
         path,
         span,
         arrivedAtMs,
-        snapshot,
-        configurationAge: {
-            ageMs: Math.round(arrivedAtMs - inForceSinceMs),
-            confirmedAgeMs: confirmedByTable ? Math.round(arrivedAtMs - confirmedAtMs) : undefined,
-        },
+        snapshot: configuration.snapshot,
+        configurationAge: ageOf(configuration, arrivedAtMs),
         service: "none",
     };
 }
@@ -147,13 +146,17 @@
     if (key === undefined) {
         return sendError(exchange, "missingKey");
     }
-    const workspace = exchange.snapshot.workspaceOfKey.get(hashKey(key));
-    if (workspace === undefined) {
-        return sendError(exchange, "wrongKey");
+    const hash = hashKey(key);
+    const workspace = await lookUp(exchange, context, ({ workspaceOfKey }) => workspaceOfKey.get(hash));
+    if (workspace.kind === "missing") {
+        return refuseMissing(exchange, workspace, "wrongKey");
+    }
+    if (exchange.request.destroyed) {
+        return { ending: "notRun", code: "callerGone" };
     }
-    exchange.workspace = workspace;
+    exchange.workspace = workspace.value;
     const handler = handlerOf(exchange);
-    return handler === undefined ? sendError(exchange, "unknownPath") : handler(exchange, workspace, context);
+    return handler === undefined ? sendError(exchange, "unknownPath") : handler(exchange, workspace.value, context);
 }
 
 const exactHandlers: Readonly<Record<string, Handler>> = {
--- a/packages/entry/src/callers/chat.ts
+++ b/packages/entry/src/callers/chat.ts
@@ -3,7 +3,7 @@
  * complete answer, or an error that states whether the request may have run.
  */
 import { endingOf, mayRetryCall, noAttempts, recordAttempt } from "@rattanquay/core";
-import { ChatCall, check, formatFaults, headerNames, type ModelService } from "@rattanquay/schema";
+import { ChatCall, check, formatFaults, headerNames, type ModelService, type Service } from "@rattanquay/schema";
 import { randomUUID } from "node:crypto";
 import { type ReplicaGrant } from "../dispatch";
 import { admitUnlessCallerGone } from "./admission";
@@ -12,6 +12,7 @@
 import { admitChat, meterAnswer } from "./chatAdmission";
 import { type ChatAnswer, makeBufferedAnswer, makeStreamingAnswer } from "./chatAnswer";
 import { attemptChat, type AttemptResult } from "./chatAttempt";
+import { findAssignment, lookUp, refuseMissing } from "./confirmedLookup";
 import { type Exchange, type RequestOutcome, sendError } from "./exchange";
 import { spill } from "./spill";
 
@@ -42,15 +43,20 @@
     }
     const call = checked.value;
     exchange.askedFor = call.model;
-    const service = exchange.snapshot.services.get(call.model);
-    if (service?.kind !== "model") {
-        return sendError(exchange, "unknownModel", { detail: `Asked for: ${call.model}.` });
+    const service = await lookUp(exchange, context, ({ services }) => modelService(services.get(call.model)));
+    if (service.kind === "missing") {
+        return refuseMissing(exchange, service, "unknownModel", `Asked for: ${call.model}.`);
     }
     exchange.service = call.model;
-    if (!exchange.snapshot.workspaces.get(workspace)?.services.includes(call.model)) {
-        return sendError(exchange, "notAssigned", { detail: `Service: ${call.model}.` });
+    const assignment = await lookUp(exchange, context, findAssignment(workspace, call.model));
+    if (assignment.kind === "missing") {
+        return refuseMissing(exchange, assignment, "notAssigned", `Service: ${call.model}.`);
     }
-    return tryReplicas(exchange, workspace, call, service, context);
+    return tryReplicas(exchange, workspace, call, service.value, context);
+}
+
+function modelService(service: Service | undefined): ModelService | undefined {
+    return service?.kind === "model" ? service : undefined;
 }
 
 async function tryReplicas(
--- a/packages/entry/src/callers/exchange.ts
+++ b/packages/entry/src/callers/exchange.ts
@@ -4,6 +4,7 @@
 import { type CallerError, callerErrors, type Ending, errorBody, headerNames } from "@rattanquay/schema";
 import { type Span } from "@rattanquay/telemetry";
 import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type Configuration } from "../config";
 import { type ProcessContext } from "../processContext";
 import { describeDecision } from "./decidedOn";
 
@@ -16,9 +17,10 @@
     readonly path: string;
     readonly span: Span;
     readonly arrivedAtMs: number;
-    readonly snapshot: Snapshot;
+    /** The configuration that decides on the request; a newer one if something was missing in it. */
+    snapshot: Snapshot;
     /** How old the snapshot was when it was read for the request. */
-    readonly configurationAge: ConfigurationAge;
+    configurationAge: ConfigurationAge;
     /** The service's name once it is known, for metrics and logs; `none` before. */
     service: string;
     /** The workspace of the key, once that is known. */
@@ -37,6 +39,16 @@
     readonly confirmedAgeMs: number | undefined;
 };
 
+export function ageOf(
+    { confirmedByTable, confirmedAtMs, inForceSinceMs }: Configuration,
+    nowMs: number,
+): ConfigurationAge {
+    return {
+        ageMs: Math.round(nowMs - inForceSinceMs),
+        confirmedAgeMs: confirmedByTable ? Math.round(nowMs - confirmedAtMs) : undefined,
+    };
+}
+
 /** How a request ended. Each request has exactly one outcome. */
 export type RequestOutcome = { readonly ending: Ending; readonly code: string };
 
--- a/packages/entry/src/callers/plain.ts
+++ b/packages/entry/src/callers/plain.ts
@@ -1,10 +1,11 @@
 /** Handles calls to plain services: repeatable calls may be retried, others are sent to an upstream at most once. */
 import { type AttemptOutcome, endingOf, isRepeatable, mayRetryCall, noAttempts, recordAttempt } from "@rattanquay/core";
-import { headerNames, type PlainService } from "@rattanquay/schema";
+import { headerNames, type PlainService, type Service } from "@rattanquay/schema";
 import { randomUUID } from "node:crypto";
 import { admitUnlessCallerGone, isCallerGone } from "./admission";
 import { readBody } from "./body";
 import { type HandlerContext } from "./callerListener";
+import { findAssignment, lookUp, refuseMissing } from "./confirmedLookup";
 import { type Exchange, type RequestOutcome, sendError } from "./exchange";
 import { headersToUpstream } from "./forwardedHeaders";
 import { type CallResult, sendResult } from "./plainAnswer";
@@ -33,13 +34,17 @@
     const { settings } = context.processContext;
     const [, , name = "", ...pathSegments] = exchange.path.split("/");
     exchange.askedFor = name;
-    const service = exchange.snapshot.services.get(name);
-    if (service?.kind !== "plain") {
-        return sendError(exchange, "unknownModel", { detail: `Asked for: ${name}.` });
+    const service = await lookUp(exchange, context, ({ services }) => plainService(services.get(name)));
+    if (service.kind === "missing") {
+        return refuseMissing(exchange, service, "unknownModel", `Asked for: ${name}.`);
     }
     exchange.service = name;
-    if (!exchange.snapshot.workspaces.get(workspace)?.services.includes(name)) {
-        return sendError(exchange, "notAssigned", { detail: `Service: ${name}.` });
+    const assignment = await lookUp(exchange, context, findAssignment(workspace, name));
+    if (assignment.kind === "missing") {
+        return refuseMissing(exchange, assignment, "notAssigned", `Service: ${name}.`);
+    }
+    if (exchange.request.destroyed) {
+        return { ending: "notRun", code: "callerGone" };
     }
     const body = await readBody(exchange, settings.limits);
     if (body.kind === "callerGone") {
@@ -49,7 +54,11 @@
         exchange.response.setHeader("connection", "close");
         return sendError(exchange, body.code);
     }
-    return serveCall(exchange, makePlainCall(exchange, workspace, service, pathSegments, body.bytes), context);
+    return serveCall(exchange, makePlainCall(exchange, workspace, service.value, pathSegments, body.bytes), context);
+}
+
+function plainService(service: Service | undefined): PlainService | undefined {
+    return service?.kind === "plain" ? service : undefined;
 }
 
 function makePlainCall(
@@ -158,7 +167,7 @@
     if (context.processContext.timer.nowMs() >= call.startByMs) {
         return { kind: "refused", code: "overloaded", retryAfterMs: 1_000 };
     }
-    const declared = context.configuration.latest().snapshot.services.get(exchange.service);
+    const declared = context.configuration.feed.latest().snapshot.services.get(exchange.service);
     if (declared?.kind !== "plain" || !declared.upstreams.some(upstream => upstream.address === address)) {
         return { kind: "unreached" };
     }
--- a/packages/entry/src/config/configTask.ts
+++ b/packages/entry/src/config/configTask.ts
@@ -14,6 +14,7 @@
     /** Whether this process has ever confirmed it with the table itself. */
     readonly confirmedByTable: boolean;
     readonly snapshot: Snapshot;
+    /** When the table was last asked, of the questions that it has answered. */
     readonly confirmedAtMs: number;
     /** When this process got the snapshot. */
     readonly inForceSinceMs: number;
@@ -21,6 +22,8 @@
 
 export type ConfigTask = {
     readonly feed: ObservableValue<Configuration>;
+    /** Resolves when the table has been read again, or after a short time. Asks it if no read has begun lately. */
+    readonly confirm: () => Promise<void>;
     /** Applies a snapshot from a peer immediately if it is newer, even while a poll waits for the table. */
     readonly applyPeerSnapshot: (snapshot: Snapshot) => void;
     /** Applies a ticket that this process has just accepted, without waiting for the next read of the table. */
@@ -28,6 +31,11 @@
     readonly stop: () => void;
 };
 
+/** How long a request waits for the table at most. */
+const confirmWaitMs = 400;
+/** Requests with wrong keys cause no more reads than this allows. */
+const confirmEveryMs = 1_000;
+
 export function startConfig(processContext: ProcessContext): ConfigTask {
     const { settings, timer, log, metrics, random } = processContext;
     const source = makeValuePublisher<Configuration>({
@@ -38,8 +46,11 @@
         inForceSinceMs: 0,
     });
     let tableWasDown = false;
+    let askedAtMs = -Infinity;
+    const waiting = new Set<() => void>();
 
-    const publishNewer = (received: Snapshot, isFromTable: boolean): void => {
+    /** `confirmedByTableAtMs` is when the table was asked; undefined for what comes from a peer. */
+    const publishNewer = (received: Snapshot, confirmedByTableAtMs: number | undefined): void => {
         const { isKnown, confirmedByTable, snapshot, confirmedAtMs, inForceSinceMs } = source.latest();
         const newer = newerSnapshot(snapshot, received);
         const isNew = newer !== snapshot || !isKnown;
@@ -49,9 +60,9 @@
         }
         source.publish({
             isKnown: true,
-            confirmedByTable: confirmedByTable || isFromTable,
+            confirmedByTable: confirmedByTable || confirmedByTableAtMs !== undefined,
             snapshot: newer,
-            confirmedAtMs: isFromTable ? timer.nowMs() : confirmedAtMs,
+            confirmedAtMs: Math.max(confirmedAtMs, confirmedByTableAtMs ?? confirmedAtMs),
             inForceSinceMs: isNew ? timer.nowMs() : inForceSinceMs,
         });
     };
@@ -67,7 +78,7 @@
         }
     };
 
-    const poll = async (): Promise<void> => {
+    const readTable = async (): Promise<void> => {
         const head = await readHead(processContext.table);
         if (head === undefined) {
             metrics.platformErrors.inc({ call: "readHead" });
@@ -76,14 +87,29 @@
         }
         await delayAfterOutage();
         if (source.latest().isKnown && head.revision <= source.latest().snapshot.revision) {
-            publishNewer(source.latest().snapshot, true);
+            publishNewer(source.latest().snapshot, askedAtMs);
             return;
         }
         const snapshot = await readSnapshot(processContext.table, head);
         if (snapshot !== undefined) {
-            publishNewer(snapshot, true);
+            publishNewer(snapshot, askedAtMs);
         }
     };
+    const poll = async (): Promise<void> => {
+        askedAtMs = timer.nowMs();
+        await readTable();
+        waiting.forEach(end => end());
+    };
+    const waitForPoll = (): Promise<void> =>
+        new Promise(resolve => {
+            const end = (): void => {
+                cancel();
+                waiting.delete(end);
+                resolve();
+            };
+            const cancel = timer.after(confirmWaitMs, end);
+            waiting.add(end);
+        });
 
     const mailbox = startTask<Message>({
         name: "config",
@@ -94,11 +120,20 @@
     const cancel = timer.every(settings.intervals.configPollMs, () => mailbox.sendIfIdle({ kind: "poll" }));
     return {
         feed: source,
-        applyPeerSnapshot: snapshot => publishNewer(snapshot, false),
+        confirm: () => {
+            if (timer.nowMs() - askedAtMs >= confirmEveryMs) {
+                mailbox.sendIfIdle({ kind: "poll" });
+            }
+            return waitForPoll();
+        },
+        applyPeerSnapshot: snapshot => publishNewer(snapshot, undefined),
         applyAccepted: ({ revision, ticketRow, subjectRows }) => {
             const { isKnown, snapshot } = source.latest();
             if (isKnown) {
-                publishNewer(applyRows(snapshot, { revision, ticket: ticketRow.ticket, rows: subjectRows }), true);
+                publishNewer(
+                    applyRows(snapshot, { revision, ticket: ticketRow.ticket, rows: subjectRows }),
+                    timer.nowMs(),
+                );
             }
         },
         stop: () => {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -87,7 +87,7 @@
     const isReady = (): boolean => !stopping && mayServe();
     const spillTarget = (service: string): string | undefined => peers?.spillTarget(service);
     const readiness = { isReady, mayServe };
-    const callers = await startCallerListener(context, configuration.feed, dispatch, readiness, spillTarget);
+    const callers = await startCallerListener(context, configuration, dispatch, readiness, spillTarget);
     opened.push(callers);
     const { port: callerPort } = callers;
     const startedPeers = await startPeers({ context, configuration, fleet, hash, callerPort, isReady });
--- a/packages/schema/src/outcome.ts
+++ b/packages/schema/src/outcome.ts
@@ -98,6 +98,12 @@
         ending: "notRun",
         message: "Not run: this entry instance is not ready.",
     },
+    unconfirmedConfiguration: {
+        status: 503,
+        type: "server_error",
+        ending: "notRun",
+        message: "Not run: the configuration known here does not allow it, and may not be the newest.",
+    },
     busy: {
         status: 503,
         type: "server_error",
