--- a/packages/gateway/src/peers/__tests__/packedConfiguration.test.ts
+++ b/packages/gateway/src/peers/__tests__/packedConfiguration.test.ts
@@ -47,19 +47,22 @@
 
 test("DENIED: a peer's configuration of a newer version does not come into force", () => {
     const [relay, follower] = [makePeer(9), makePeer(4)];
-    const answer = answerStateRequest(makeStateRequest(follower.clusterState), relay.clusterState);
+    const answer = answerStateRequest(makeStateRequest(follower.clusterState), relay.clusterState, 0);
     assert.is(answer.config, undefined);
-    applyStateAnswer(answer, follower.clusterState, follower.faults);
+    applyStateAnswer(answer, follower.clusterState, follower.faults, 0);
     assert.equal(follower.clusterState.configuration(), makeConfig(9));
-    assert.is(answerStateRequest(makeStateRequest(follower.clusterState), relay.clusterState).packedConfig, undefined);
+    assert.is(
+        answerStateRequest(makeStateRequest(follower.clusterState), relay.clusterState, 0).packedConfig,
+        undefined,
+    );
 });
 
 test("DENIED: processes of an earlier build do not get a configuration that they cannot unpack", () => {
     const [relay, earlier] = [makePeer(9), makePeer(4)];
     const request = { ...makeStateRequest(earlier.clusterState), acceptsPacked: undefined };
-    const answer = answerStateRequest(request, relay.clusterState);
+    const answer = answerStateRequest(request, relay.clusterState, 0);
     assert.is(answer.packedConfig, undefined);
-    applyStateAnswer(answer, earlier.clusterState, earlier.faults);
+    applyStateAnswer(answer, earlier.clusterState, earlier.faults, 0);
     assert.is(earlier.clusterState.routes()?.version, 9);
 });
 
@@ -74,7 +77,7 @@
 for (const { name, packedConfig } of odd) {
     test(`LOST: a peer that sends ${name} as its configuration ends the process or changes what is in force`, async () => {
         const { clusterState, metrics, faults } = makePeer(4);
-        applyStateAnswer({ ...emptyAnswer, packedConfig }, clusterState, faults);
+        applyStateAnswer({ ...emptyAnswer, packedConfig }, clusterState, faults, 0);
         assert.is(clusterState.routes()?.version, 4);
         assert.is((await metrics.unusableRows.get()).values[0]?.value, 1);
     });
