Take targets in absolute form for what they name

A caller that sends the target in absolute form, as HTTP/1.1 allows, got 404 unknownRoute: the route was looked up by the whole target as a path. The path is now read out of it where its host is that of the Host header, for the route and for the upstream.

--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -46,6 +46,7 @@
 export { makePrefillBacklog, type PrefillBacklog } from "./prefillBacklog";
 export { makeRecentShares, type RecentShares } from "./recentShares";
 export { mayTakeIn, type RemainingLife, type RequestSpan } from "./remainingLife";
+export { pathOfTarget } from "./requestTarget";
 export { makeSharedRetryBudget, type RetryBudgetOptions, type SharedRetryBudget } from "./retryBudget";
 export {
     type AttemptCounts,
--- a/packages/gateway/src/exchange/attemptRun.ts
+++ b/packages/gateway/src/exchange/attemptRun.ts
@@ -1,5 +1,5 @@
 /** Runs one attempt of an exchange: relays its answer, waits for callers that read slowly, and watches for stalls. */
-import { detectStall } from "@rattanquay/core";
+import { detectStall, pathOfTarget } from "@rattanquay/core";
 import { type ColdGrant } from "../cold";
 import { type AnswerHead } from "../ports";
 import { type ObservedEnd } from "../quarantine";
@@ -266,7 +266,7 @@
     return {
         upstream: placement.upstream,
         method: request.method ?? "GET",
-        target: request.url ?? "/",
+        target: pathOfTarget(request.url ?? "/", request.headers.host),
         headers: requestCodec.upstreamHeaders(request, {
             upstreamId: placement.upstream.record.id,
             workspace,
--- a/packages/gateway/src/exchange/target.ts
+++ b/packages/gateway/src/exchange/target.ts
@@ -4,6 +4,7 @@
  * A request that the configuration in force does not allow is refused for good only if that configuration is known to be the
  * newest: its caller never repeats it then. Otherwise it waits a moment for the answer of the store or of a relay.
  */
+import { pathOfTarget } from "@rattanquay/core";
 import { type ServingRoute, type ServingWorkspace } from "@rattanquay/schema";
 import { type IncomingMessage } from "node:http";
 import { type CallerRequest } from "../ports";
@@ -72,7 +73,8 @@
 
 function lookUp({ request, caller }: TargetRequest, basis: DecisionBasis): FoundTarget | RefusedTarget {
     const { routes } = basis;
-    const route = routes.findRoute(request.headers.host, request.url ?? "/");
+    const { host } = request.headers;
+    const route = routes.findRoute(host, pathOfTarget(request.url ?? "/", host));
     if (route === undefined) {
         return { kind: "refused", basis, refusal: "unknownRoute" };
     }
