Move the slow link to the lab, and let the stand-in's table answer in pages

Tests of the chat interface need the link that the users' platform's tests have. The stand-in's table answered any list in one page; DynamoDB ends a page after 1 MB and names the key to go on from.

--- a/packages/lab/src/link/index.ts
+++ b/packages/lab/src/link/index.ts
@@ -4,3 +4,4 @@
  */
 export { type Link, type LinkFault, startLink } from "./link";
 export { type Connectivity, makeNetwork, type Network, outsideLocation, platformLocation } from "./network";
+export { type SlowLink, startSlowLink } from "./slowLink";
--- a/packages/lab/src/platform/memoryTable.ts
+++ b/packages/lab/src/platform/memoryTable.ts
@@ -18,12 +18,17 @@
 type Failure = { readonly kind: "failed"; readonly type: string; readonly message: string };
 type Result = { readonly kind: "done"; readonly body: unknown } | Failure;
 
+/** A page ends after the item that reaches this size, as in DynamoDB. */
+const defaultPageBytes = 1_048_576;
+
 const idOf = (key: Item): string => `${key.partition?.S}\u0000${key.key?.S}`;
 
 /** Runs operations by name and returns what the API would answer. */
 export class MemoryTable {
     private readonly items = new Map<string, Item>();
     private readonly requestTokens = new Set<string>();
+    constructor(private readonly pageBytes = defaultPageBytes) {}
+
     readonly counts = { reads: 0, writes: 0, conflicts: 0 };
 
     run(operation: string, input: never): Result {
@@ -38,12 +43,21 @@
             this.counts.reads++;
             return { kind: "done", body: { Item: this.items.get(idOf(input.Key)) } };
         },
-        Query: (input: { readonly ExpressionAttributeValues: Record<string, Attribute> }) => {
+        Query: (
+            input: {
+                readonly ExpressionAttributeValues: Record<string, Attribute>;
+                readonly ExclusiveStartKey?: Item;
+            },
+        ) => {
             this.counts.reads++;
             const partition = input.ExpressionAttributeValues[":partition"]?.S;
             const found = [...this.items.values()].filter(item => item.partition?.S === partition);
-            const Items = found.sort((a, b) => (a.key?.S ?? "") < (b.key?.S ?? "") ? -1 : 1);
-            return { kind: "done", body: { Items, Count: Items.length } };
+            const sorted = found.sort((a, b) => (a.key?.S ?? "") < (b.key?.S ?? "") ? -1 : 1);
+            const startKey = input.ExclusiveStartKey?.key?.S;
+            return {
+                kind: "done",
+                body: this.pageOf(startKey === undefined ? sorted : sorted.filter(({ key }) => key!.S! > startKey)),
+            };
         },
         TransactWriteItems: (
             input: { readonly TransactItems: readonly TransactItem[]; readonly ClientRequestToken?: string },
@@ -69,6 +83,19 @@
         },
     };
 
+    private pageOf(items: readonly Item[]): unknown {
+        let bytes = 0;
+        const Items: Item[] = [];
+        while (Items.length < items.length && bytes < this.pageBytes) {
+            const item = items[Items.length]!;
+            bytes += JSON.stringify(item).length;
+            Items.push(item);
+        }
+        const { partition, key } = Items.at(-1) ?? {};
+        const isLast = Items.length === items.length;
+        return { Items, Count: Items.length, ...(isLast ? {} : { LastEvaluatedKey: { partition, key } }) };
+    }
+
     private conditionHolds(item: TransactItem): boolean {
         const operation = item.Put ?? item.Delete ?? item.ConditionCheck;
         const key = item.Put?.Item ?? item.Delete?.Key ?? item.ConditionCheck?.Key;
--- a/packages/lab/src/platform/platformStandIn.ts
+++ b/packages/lab/src/platform/platformStandIn.ts
@@ -21,6 +21,8 @@
     readonly listLagMs?: number;
     /** The throughput of the weight store, which all instances share. */
     readonly weightBytesPerSecond?: number;
+    /** The size of the table's pages. */
+    readonly pageBytes?: number;
 };
 
 export type PlatformStandIn =
@@ -46,7 +48,7 @@
 export async function startPlatform(options: PlatformOptions = {}): Promise<PlatformStandIn> {
     const list = makeLaggingList(options.listLagMs ?? defaultListLagMs);
     const weights = makeWeightStore(options.weightBytesPerSecond ?? defaultWeightBytesPerSecond);
-    const context: RouteContext = { table: new MemoryTable(), list, weights, fault: {} };
+    const context: RouteContext = { table: new MemoryTable(options.pageBytes), list, weights, fault: {} };
     const { server, port } = await listen(options.port ?? 0, (request, response, path) => {
         const route = routes[`${request.method} ${path}`];
         return route === undefined ? sendJson(response, 404, {}) : route(request, response, context);
