Give up a read of the table by its progress, and go on at the page reached

Callers of the chat interface got 401 for a key that a ticket had added: a process that reads the table over a slow link never got the configuration. One time limit (platform.timeoutMs, 1 s) held for a whole list over all its pages, and nothing went on at the page reached, so each read was given up with part of it received and started over.

timeoutMs now counts from the last byte (socketTimeout of the SDK's handler) and for the connection; a read or list as a whole may take 30 s, a transaction still no longer than timeoutMs. A page after the first that fails is read again, twice at most, so that a silent table is still noticed by the first call. Each page is a consistent read of its own as before; whether the pages fit together is still decided by the head's revision before and after.

Evidence: slowTable.test.ts (3,000 workspaces at 300 KB/s) answered 401 after 9 s in one page and in pages on the code before, and passes.

--- /dev/null
+++ b/packages/lab/src/__tests__/slowTable.test.ts
@@ -0,0 +1,106 @@
+/** A configuration that takes longer to arrive from the platform's table than one call may wait without an answer. */
+import { type Entry, hashKey, startEntry, submitTicket } from "@rattanquay/entry";
+import { Settings, Ticket } from "@rattanquay/schema";
+import { makeDynamoTable, type Table } from "@rattanquay/table";
+import { silentLog } from "@rattanquay/telemetry";
+import { sleep, systemTimer } from "@rattanquay/timer";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { defaultSpec, settingsFor, waitUntil } from "../cluster";
+import { type SlowLink, startSlowLink } from "../link";
+import { callChat } from "../load";
+import { type PlatformStandIn, startPlatform } from "../platform";
+
+const credentials = { accessKeyId: "lab", secretAccessKey: "lab" };
+const addedKey = "added-key-00000000000";
+/** The configuration takes about three seconds, three times as long as a call may wait for its first byte. */
+const bytesPerSecond = 300_000;
+const workspaces = 3_000;
+const workspacesPerTicket = 45;
+const applyMs = 9_000;
+const pollMs = 50;
+const messages = [{ role: "user", content: "Heater 7 leaks at the flange." }];
+
+const keyHash = (index: number): string => index.toString(16).padStart(64, "0");
+
+function ticketOf(ticket: number, keys: Readonly<Record<string, string>>): Ticket {
+    const declared = Object.entries(keys).map(([name, key]) => [name, { keySha256: [key], services: ["assistant"] }]);
+    return Ticket.parse({ ticket, author: "lab", workspaces: Object.fromEntries(declared) });
+}
+
+const tableAt = (address: string): Table =>
+    makeDynamoTable({
+        endpoint: `http://${address}`,
+        region: "local",
+        tableName: "rattanquay",
+        timeoutMs: 1_000,
+        credentials,
+    });
+
+/** Accepts the many workspaces and the added key after ticket 1. */
+async function enlarge(table: Table): Promise<void> {
+    let ticket = 1;
+    for (let first = 0; first < workspaces; first += workspacesPerTicket) {
+        const indexes = Array.from({ length: workspacesPerTicket }, (unused, index) => first + index);
+        const names = Object.fromEntries(indexes.map(index => [`workspace-${index}`, keyHash(index)]));
+        assert.is((await submitTicket(table, ticketOf(++ticket, names))).kind, "accepted");
+    }
+    assert.is((await submitTicket(table, ticketOf(++ticket, { added: hashKey(addedKey) }))).kind, "accepted");
+}
+
+function startSlowEntry({ port }: PlatformStandIn, link: SlowLink): Promise<Entry> {
+    const parameters = {
+        id: "entry-0",
+        availabilityZone: "zone-a",
+        platformPort: port,
+        ports: { callers: 0, operators: 0, peers: 0 },
+    };
+    const settings = settingsFor(defaultSpec, parameters);
+    return startEntry({
+        settings: Settings.parse({
+            ...settings,
+            platform: { ...settings.platform, tableEndpoint: `http://${link.address}` },
+        }),
+        timer: systemTimer,
+        log: silentLog,
+        random: Math.random,
+        credentials,
+        onFatalError: (task, error) => {
+            throw new Error(`broken invariant in ${task}`, { cause: error });
+        },
+    });
+}
+
+const cases = [
+    { name: "in one page", pageBytes: 16_777_216 },
+    { name: "in pages", pageBytes: 131_072 },
+];
+for (const { name, pageBytes } of cases) {
+    test(`DENIED: callers get 401 for a key of a configuration that never arrives, as its read starts over; ${name}`, async () => {
+        const platform = await startPlatform({ pageBytes });
+        const direct = tableAt(`127.0.0.1:${platform.port}`);
+        assert.is((await submitTicket(direct, ticketOf(1, { first: keyHash(workspaces) }))).kind, "accepted");
+        const link = await startSlowLink(`127.0.0.1:${platform.port}`, bytesPerSecond);
+        const entry = await startSlowEntry(platform, link);
+        const callStatus = async (): Promise<number> =>
+            (await callChat({ port: entry.callerPort, messages, maxTokens: 1, key: addedKey })).status;
+        try {
+            await waitUntil("the first configuration to be in force", applyMs, async () => await callStatus() === 401);
+            await enlarge(direct);
+            const deadlineMs = systemTimer.nowMs() + applyMs;
+            while (await callStatus() === 401 && systemTimer.nowMs() < deadlineMs) {
+                await sleep(systemTimer, pollMs);
+            }
+            // The key is known, and its service is declared nowhere.
+            assert.is(await callStatus(), 404);
+        }
+        finally {
+            await entry.stop();
+            direct.stop();
+            link.close();
+            platform.kill();
+        }
+    });
+}
+
+test.run();
--- a/packages/table/src/dynamoTable.ts
+++ b/packages/table/src/dynamoTable.ts
@@ -21,11 +21,19 @@
     readonly endpoint: string;
     readonly region: string;
     readonly tableName: string;
+    /** Time for a connection, time without a byte of an answer, and time for a whole transaction. */
     readonly timeoutMs: number;
+    /** Time for a whole read or list that goes on arriving. */
+    readonly longestReadMs?: number;
     /** Credentials; if absent, the SDK reads its usual environment variables. */
     readonly credentials?: { readonly accessKeyId: string; readonly secretAccessKey: string };
 };
 
+/** A large configuration takes seconds over a slow link, so a list is not given up while its pages go on arriving. */
+const defaultLongestReadMs = 30_000;
+/** Attempts at a page after the first one, so that a list does not start over when one page is not answered. */
+const pageAttempts = 3;
+
 /** Names of the errors that DynamoDB returns for a failed condition or a conflicting transaction. */
 const conflictErrorNames = new Set([
     "TransactionCanceledException",
@@ -36,18 +44,26 @@
 /** Silences the SDK's notice about later versions: the lock file pins the version, and the notice clutters the logs. */
 const versionWarningVariable = "AWS_SDK_JS_NODE_VERSION_SUPPORT_WARNING_DISABLED";
 
-/** Creates the client. It never retries on its own: the callers decide which calls may be repeated. */
+/**
+ * Creates the client. It repeats only single pages of a list that has begun; for all other calls, the callers decide
+ * which may be repeated.
+ */
 export function makeDynamoTable(options: Options): Table {
     process.env[versionWarningVariable] ??= "true";
     const client = new DynamoDBClient({
         endpoint: options.endpoint,
         region: options.region,
         maxAttempts: 1,
+        requestHandler: { connectionTimeout: options.timeoutMs, socketTimeout: options.timeoutMs },
         ...(options.credentials === undefined ? {} : { credentials: options.credentials }),
     });
-    const run = async <T>(call: (abortSignal: AbortSignal) => Promise<T>): Promise<TableOutcome<T>> => {
+    const longestReadMs = options.longestReadMs ?? defaultLongestReadMs;
+    const run = async <T>(
+        longestMs: number,
+        call: (abortSignal: AbortSignal) => Promise<T>,
+    ): Promise<TableOutcome<T>> => {
         try {
-            return { kind: "done", value: await call(AbortSignal.timeout(options.timeoutMs)) };
+            return { kind: "done", value: await call(AbortSignal.timeout(longestMs)) };
         }
         catch (error) {
             return failureFromError(error);
@@ -55,7 +71,7 @@
     };
     return {
         read: key =>
-            run(async abortSignal => {
+            run(longestReadMs, async abortSignal => {
                 const command = new GetItemCommand({
                     TableName: options.tableName,
                     Key: toKeyAttributes(key),
@@ -64,9 +80,10 @@
                 const { Item } = await client.send(command, { abortSignal });
                 return Item === undefined ? undefined : fromItem(Item);
             }),
-        list: partition => run(abortSignal => listAll(client, options.tableName, partition, abortSignal)),
+        list: partition =>
+            run(longestReadMs, abortSignal => listAll(client, options.tableName, partition, abortSignal)),
         transact: (writes, requestToken) =>
-            run(async abortSignal => {
+            run(options.timeoutMs, async abortSignal => {
                 const TransactItems = writes.map(write => toTransactItem(options.tableName, write));
                 await client.send(new TransactWriteItemsCommand({ TransactItems, ClientRequestToken: requestToken }), {
                     abortSignal,
@@ -82,10 +99,8 @@
     partition: string,
     abortSignal: AbortSignal,
 ): Promise<readonly KeyedRow[]> {
-    const rows: KeyedRow[] = [];
-    let startKey: Record<string, AttributeValue> | undefined;
-    do {
-        const page = await client.send(
+    const readPage = (startKey: Record<string, AttributeValue> | undefined) =>
+        client.send(
             new QueryCommand({
                 TableName: tableName,
                 KeyConditionExpression: "#partition = :partition",
@@ -96,13 +111,29 @@
             }),
             { abortSignal },
         );
+    let page = await readPage(undefined);
+    const rows = (page.Items ?? []).map(fromItem);
+    while (page.LastEvaluatedKey !== undefined) {
+        const startKey = page.LastEvaluatedKey;
+        page = await repeatRead(() => readPage(startKey), abortSignal);
         rows.push(...(page.Items ?? []).map(fromItem));
-        startKey = page.LastEvaluatedKey;
     }
-    while (startKey !== undefined);
     return rows;
 }
 
+/** Repeats a failed read up to `pageAttempts` attempts, or until it is aborted. */
+async function repeatRead<T>(read: () => Promise<T>, abortSignal: AbortSignal): Promise<T> {
+    for (let attempt = 1; attempt < pageAttempts && !abortSignal.aborted; attempt++) {
+        try {
+            return await read();
+        }
+        catch {
+            // The last attempt's error is the one that is reported.
+        }
+    }
+    return read();
+}
+
 function failureFromError(error: unknown): TableOutcome<never> {
     const { name, message } = error as Error;
     return conflictErrorNames.has(name) ? { kind: "conflict" } : { kind: "unavailable", reason: `${name}: ${message}` };
