--- a/packages/core/src/tickets/decideTicket.ts
+++ b/packages/core/src/tickets/decideTicket.ts
@@ -81,7 +81,8 @@
     return { kind: "overtaken", ticket: ticket.ticket, by, subject, message };
 }
 
-function subjectRowsOf(ticket: Ticket, revision: number): readonly SubjectRow[] {
+/** The rows that a ticket sets when it is accepted as `revision`. */
+export function subjectRowsOf(ticket: Ticket, revision: number): readonly SubjectRow[] {
     const common = { ticket: ticket.ticket, revision };
     return [
         ...Object.entries(ticket.services).map(([name, state]) => ({
--- a/packages/core/src/tickets/index.ts
+++ b/packages/core/src/tickets/index.ts
@@ -1,3 +1,3 @@
 /** Acceptance of change tickets and eviction of old ones. */
-export { decideTicket, type TicketContext, type TicketDecision } from "./decideTicket";
+export { decideTicket, subjectRowsOf, type TicketContext, type TicketDecision } from "./decideTicket";
 export { isObsoleteTombstone, ticketSlotOf, tombstoneCandidates } from "./eviction";
--- a/packages/entry/src/tickets/index.ts
+++ b/packages/entry/src/tickets/index.ts
@@ -1,4 +1,4 @@
 /** Submits and reads change tickets. */
 export { digestOf } from "./digest";
 export { type AcceptedTicket } from "./ticketContext";
-export { listTickets, readTicket, submitTicket } from "./ticketStore";
+export { defaultKeptTickets, listTickets, readTicket, submitTicket } from "./ticketStore";
--- a/packages/entry/src/tickets/ticketStore.ts
+++ b/packages/entry/src/tickets/ticketStore.ts
@@ -9,7 +9,7 @@
 
 const maxAttempts = 8;
 /** The number of tickets that are kept in the table; older ones are in version control. */
-const defaultKeptTickets = 2_000;
+export const defaultKeptTickets = 2_000;
 
 /**
  * Submits a ticket. If the response to the write is lost, the next attempt finds either the ticket's own row or no
--- a/packages/lab/src/__tests__/slowTable.test.ts
+++ b/packages/lab/src/__tests__/slowTable.test.ts
@@ -18,6 +18,7 @@
 const workspaces = 3_000;
 const workspacesPerTicket = 45;
 const applyMs = 9_000;
+const changeEveryMs = 200;
 const pollMs = 50;
 const messages = [{ role: "user", content: "Heater 7 leaks at the flange." }];
 
@@ -37,8 +38,8 @@
         credentials,
     });
 
-/** Accepts the many workspaces and the added key after ticket 1. */
-async function enlarge(table: Table): Promise<void> {
+/** Accepts the many workspaces and the added key after ticket 1, and returns the last ticket's number. */
+async function enlarge(table: Table): Promise<number> {
     let ticket = 1;
     for (let first = 0; first < workspaces; first += workspacesPerTicket) {
         const indexes = Array.from({ length: workspacesPerTicket }, (unused, index) => first + index);
@@ -46,6 +47,7 @@
         assert.is((await submitTicket(table, ticketOf(++ticket, names))).kind, "accepted");
     }
     assert.is((await submitTicket(table, ticketOf(++ticket, { added: hashKey(addedKey) }))).kind, "accepted");
+    return ticket;
 }
 
 function startSlowEntry({ port }: PlatformStandIn, link: SlowLink): Promise<Entry> {
@@ -71,11 +73,31 @@
     });
 }
 
+/** Submits a ticket that changes one of the many workspaces again and again. */
+function startChanges(table: Table, lastTicket: number): { readonly stop: () => Promise<void> } {
+    let isRunning = true;
+    const run = async (): Promise<void> => {
+        for (let ticket = lastTicket + 1; isRunning; ticket++) {
+            const change = ticketOf(ticket, { [`workspace-${ticket}`]: keyHash(workspaces + ticket) });
+            assert.is((await submitTicket(table, change)).kind, "accepted");
+            await sleep(systemTimer, changeEveryMs);
+        }
+    };
+    const running = run();
+    return {
+        stop: () => {
+            isRunning = false;
+            return running;
+        },
+    };
+}
+
 const cases = [
-    { name: "in one page", pageBytes: 16_777_216 },
-    { name: "in pages", pageBytes: 131_072 },
+    { name: "in one page", pageBytes: 16_777_216, changes: false },
+    { name: "in pages", pageBytes: 131_072, changes: false },
+    { name: "in pages, while tickets are accepted", pageBytes: 131_072, changes: true },
 ];
-for (const { name, pageBytes } of cases) {
+for (const { name, pageBytes, changes } of cases) {
     test(`DENIED: callers get 401 for a key of a configuration that never arrives, as its read starts over; ${name}`, async () => {
         const platform = await startPlatform({ pageBytes });
         const direct = tableAt(`127.0.0.1:${platform.port}`);
@@ -84,9 +106,11 @@
         const entry = await startSlowEntry(platform, link);
         const callStatus = async (): Promise<number> =>
             (await callChat({ port: entry.callerPort, messages, maxTokens: 1, key: addedKey })).status;
+        let changing: { readonly stop: () => Promise<void> } | undefined;
         try {
             await waitUntil("the first configuration to be in force", applyMs, async () => await callStatus() === 401);
-            await enlarge(direct);
+            const lastTicket = await enlarge(direct);
+            changing = changes ? startChanges(direct, lastTicket) : undefined;
             const deadlineMs = systemTimer.nowMs() + applyMs;
             while (await callStatus() === 401 && systemTimer.nowMs() < deadlineMs) {
                 await sleep(systemTimer, pollMs);
@@ -95,6 +119,7 @@
             assert.is(await callStatus(), 404);
         }
         finally {
+            await changing?.stop();
             await entry.stop();
             direct.stop();
             link.close();
--- a/packages/lab/src/fakes/__tests__/ticketFuzz.test.ts
+++ b/packages/lab/src/fakes/__tests__/ticketFuzz.test.ts
@@ -143,7 +143,7 @@
 async function readUntil(table: Table, done: () => boolean, seen: Snapshot[]): Promise<void> {
     while (!done()) {
         const head = await readHead(table);
-        const snapshot = head === undefined ? undefined : await readSnapshot(table, head);
+        const snapshot = head === undefined ? undefined : await readSnapshot(table, head, maxKeptTickets);
         if (snapshot !== undefined) {
             seen.push(snapshot);
         }
