--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -164,6 +164,7 @@
         instanceListClient: makeInstanceListClient({
             endpoint: platform.instancesEndpoint,
             timeoutMs: platform.timeoutMs,
+            timer,
         }),
     };
 }
