Close a link to a peer that counts as dead only if it is silent

Callers of the chat interface got 401 for a key that a ticket had added, at a process that cannot read the table: heartbeats wait behind a configuration on the link, the peer counts as dead two seconds after its last one, and the link was closed with part of the configuration received. The next link started the transfer over.

A link on which bytes arrive is now closed only 30 s after the peer's last heartbeat. The peer still counts as dead meanwhile, so that no decision rests on its old state; its next heartbeat makes it alive. A silent link is closed as before.

--- a/packages/entry/src/peers/connection.ts
+++ b/packages/entry/src/peers/connection.ts
@@ -15,6 +15,8 @@
     nextSequence: number;
     /** The last heartbeat received on this link. */
     heard: { readonly sequence: number; readonly atMs: number } | undefined;
+    /** The bytes received so far, and when their number was last seen to grow. */
+    received: { readonly bytes: number; readonly atMs: number } | undefined;
     readonly evidenceTracker: EvidenceChangeTracker;
     /** The last zone summary sent, as JSON. */
     lastSummary: string;
@@ -34,11 +36,20 @@
         sendTimes: new Map(),
         nextSequence: 1,
         heard: undefined,
+        received: undefined,
         evidenceTracker: makeEvidenceChangeTracker({ maxAgeMs: sharedEvidenceMaxAgeMs }),
         lastSummary: "",
     };
 }
 
+/** Notes whether bytes have been received since the last call. */
+export function noteReceivedBytes(connection: Connection, nowMs: number): void {
+    const bytes = connection.link.traffic().bytesIn;
+    if (bytes !== connection.received?.bytes) {
+        connection.received = { bytes, atMs: nowMs };
+    }
+}
+
 /** Records that a heartbeat is sent now, and returns its sequence number. */
 export function recordSend(connection: Connection, nowMs: number): number {
     const sequence = connection.nextSequence++;
--- a/packages/entry/src/peers/peersHandlers.ts
+++ b/packages/entry/src/peers/peersHandlers.ts
@@ -7,7 +7,7 @@
 import { type ConfigTask } from "../config";
 import { type Fleet, unwrittenHeadVersion } from "../fleet";
 import { type ProcessContext } from "../processContext";
-import { type Connection, echoOf, isPreferred, recordSend } from "./connection";
+import { type Connection, echoOf, isPreferred, noteReceivedBytes, recordSend } from "./connection";
 import { makeMessageHandlers, type MessageHandlers } from "./messageHandlers";
 import { type PeersState } from "./peersState";
 import { type ObservedPeers } from "./peersTask";
@@ -41,6 +41,11 @@
 /** Heartbeat intervals without a heartbeat after which a peer is suspect, and after which it is dead. */
 const suspectAfterHeartbeats = 3;
 const deadAfterHeartbeats = 8;
+/**
+ * A large configuration delays the heartbeats behind it, so a link that receives bytes is closed only this long after the
+ * last heartbeat.
+ */
+const longestWithoutHeartbeatMs = 30_000;
 const forgetAfterMs = 3_600_000;
 /** How long a process that cannot read the table waits for state from more peers before it counts as caught up. */
 const peersOnlyWaitMs = 1_500;
@@ -67,8 +72,11 @@
                 deadAfterMs: heartbeatMs * deadAfterHeartbeats,
                 forgetAfterMs,
             });
-            state.connections.forEach(connection => sendHeartbeat(dependencies, connection, nowMs));
-            closeDeadLinks(state);
+            state.connections.forEach(connection => {
+                noteReceivedBytes(connection, nowMs);
+                sendHeartbeat(dependencies, connection, nowMs);
+            });
+            closeDeadLinks(state, nowMs, heartbeatMs * deadAfterHeartbeats);
             countTraffic(dependencies);
             publish(dependencies, nowMs);
         },
@@ -185,11 +193,15 @@
     }
 }
 
-/** Closes links to peers that count as dead; dialing again shows whether the peer is reachable. */
-function closeDeadLinks(state: PeersState): void {
-    for (const { peer, link } of state.connections.values()) {
+/** Closes silent links to peers that count as dead; dialing again shows whether the peer is reachable. */
+function closeDeadLinks(state: PeersState, nowMs: number, silentAfterMs: number): void {
+    for (const { peer, link, received } of state.connections.values()) {
         const member = peer === undefined ? undefined : state.membership.members.get(peer.process);
-        if (member?.state === "dead" && member.startId === peer?.startId) {
+        if (member?.state !== "dead" || member.startId !== peer?.startId) {
+            continue;
+        }
+        const isReceiving = received !== undefined && nowMs - received.atMs < silentAfterMs;
+        if (!isReceiving || nowMs - member.lastHeardMs >= longestWithoutHeartbeatMs) {
             link.close("the peer is silent");
         }
     }
--- a/packages/lab/src/__tests__/slowTable.test.ts
+++ b/packages/lab/src/__tests__/slowTable.test.ts
@@ -1,7 +1,7 @@
 /** A configuration that takes longer to arrive from the platform's table than one call may wait without an answer. */
-import { type Entry, hashKey, startEntry, submitTicket } from "@rattanquay/entry";
-import { Settings, Ticket } from "@rattanquay/schema";
-import { makeDynamoTable, type Table } from "@rattanquay/table";
+import { type Entry, startEntry, submitTicket } from "@rattanquay/entry";
+import { Settings } from "@rattanquay/schema";
+import { type Table } from "@rattanquay/table";
 import { silentLog } from "@rattanquay/telemetry";
 import { sleep, systemTimer } from "@rattanquay/timer";
 import { test } from "uvu";
@@ -10,46 +10,15 @@
 import { type SlowLink, startSlowLink } from "../link";
 import { callChat } from "../load";
 import { type PlatformStandIn, startPlatform } from "../platform";
+import { addedKey, credentials, enlarge, keyHash, tableAt, ticketOf, workspaces } from "./manyWorkspaces";
 
-const credentials = { accessKeyId: "lab", secretAccessKey: "lab" };
-const addedKey = "added-key-00000000000";
 /** The configuration takes about three seconds, three times as long as a call may wait for its first byte. */
 const bytesPerSecond = 300_000;
-const workspaces = 3_000;
-const workspacesPerTicket = 45;
 const applyMs = 9_000;
 const changeEveryMs = 200;
 const pollMs = 50;
 const messages = [{ role: "user", content: "Heater 7 leaks at the flange." }];
 
-const keyHash = (index: number): string => index.toString(16).padStart(64, "0");
-
-function ticketOf(ticket: number, keys: Readonly<Record<string, string>>): Ticket {
-    const declared = Object.entries(keys).map(([name, key]) => [name, { keySha256: [key], services: ["assistant"] }]);
-    return Ticket.parse({ ticket, author: "lab", workspaces: Object.fromEntries(declared) });
-}
-
-const tableAt = (address: string): Table =>
-    makeDynamoTable({
-        endpoint: `http://${address}`,
-        region: "local",
-        tableName: "rattanquay",
-        timeoutMs: 1_000,
-        credentials,
-    });
-
-/** Accepts the many workspaces and the added key after ticket 1, and returns the last ticket's number. */
-async function enlarge(table: Table): Promise<number> {
-    let ticket = 1;
-    for (let first = 0; first < workspaces; first += workspacesPerTicket) {
-        const indexes = Array.from({ length: workspacesPerTicket }, (unused, index) => first + index);
-        const names = Object.fromEntries(indexes.map(index => [`workspace-${index}`, keyHash(index)]));
-        assert.is((await submitTicket(table, ticketOf(++ticket, names))).kind, "accepted");
-    }
-    assert.is((await submitTicket(table, ticketOf(++ticket, { added: hashKey(addedKey) }))).kind, "accepted");
-    return ticket;
-}
-
 function startSlowEntry({ port }: PlatformStandIn, link: SlowLink): Promise<Entry> {
     const parameters = {
         id: "entry-0",
