Don't request the state from a relay that is sending it already, to confirm it

A process behind relays that lacks a version asks its relays to confirm its configuration whenever a request would be refused for good, and each answer holds the whole version. Read in the code, not seen in a run: with 2,000 routes an answer has 420,786 bytes, 343 ms of a link of 9.8 Mbit/s by calculation, and its repetition delays the one that is on its way.

--- a/packages/gateway/src/peers/__tests__/stateFollower.test.ts
+++ b/packages/gateway/src/peers/__tests__/stateFollower.test.ts
@@ -24,6 +24,7 @@
     let knownRevision = 10;
     let readsStore = true;
     let delayMs = 0;
+    let answering: Promise<void> | undefined;
     const requested: string[] = [];
     const configurationAge = makeConfigurationAge();
     configurationAge.noteInForce(1, "peer", timer.nowMs());
@@ -37,6 +38,7 @@
     const links: Links = {
         ask: async (address: string, unused: GatewayRequest) => {
             requested.push(address);
+            await answering;
             return behaviors[address]!.answers ? answer : undefined;
         },
         tell: (addresses, message) => {
@@ -110,6 +112,13 @@
         delayNotices: (ms: number) => {
             delayMs = ms;
         },
+        /** From now on, the relays' answers are on their way until the returned function is called. */
+        holdAnswers: () => {
+            let release = (): void => undefined;
+            answering = new Promise(resolve => release = resolve);
+            return (): void => release();
+        },
+        confirmConfiguration: follower.confirmConfiguration,
         requested,
         evidence: configurationAge.evidence,
         revision: () => knownRevision,
@@ -180,4 +189,21 @@
     assert.is(confirmedAgeMs(), confirmedAgoMs + 6 * noticeEveryMs);
 });
 
+test("a confirmation does not request the state from a relay that is sending it already", async () => {
+    const follower = makeFollower({ e1: sound, e2: sound });
+    await follower.run(noticeEveryMs, () => 10);
+    const release = follower.holdAnswers();
+    await follower.run(stepMs, () => 20);
+    const [preferred] = follower.requested;
+    assert.equal(follower.requested, [preferred]);
+    void follower.confirmConfiguration();
+    const other = preferred === "e1" ? "e2" : "e1";
+    assert.equal(follower.requested, [preferred, other]);
+    release();
+    await follower.run(noticeEveryMs, () => 20);
+    const before = follower.requested.length;
+    void follower.confirmConfiguration();
+    assert.equal(follower.requested.slice(before).sort(), ["e1", "e2"]);
+});
+
 test.run();
--- a/packages/gateway/src/peers/stateFollower.ts
+++ b/packages/gateway/src/peers/stateFollower.ts
@@ -143,7 +143,8 @@
         },
         receiveSubscriptionAnswer: ({ instance, clockMs, sentAtMs }) => clocks.noteReading(instance, clockMs, sentAtMs),
         confirm: () => anyTrue(relays.map(instance => requestState(instance))),
-        confirmConfiguration: () => anyTrue(relays.map(requestConfirmation)),
+        // A relay that is sending the state already isn't asked for it once more: a large configuration fills its link.
+        confirmConfiguration: () => anyTrue(relays.filter(relay => !requesting.has(relay)).map(requestConfirmation)),
         requestInstances: async () => {
             const address = relays[0] === undefined ? undefined : addressOf(relays[0]);
             const answer = address === undefined
