Let no answer of the store confirm a configuration after one that can't be read

Callers would get 401 and 404 for good from every process of a build that can't read a newer configuration, as the store's answer counted as confirming the version before it. Such callers get 503 now, until a readable version follows.

--- a/packages/gateway/src/clusterState/watchClusterState.ts
+++ b/packages/gateway/src/clusterState/watchClusterState.ts
@@ -4,6 +4,7 @@
 import { type RemovedRow, type StoredRow } from "../ports";
 import { makeRowFaults } from "../rowFaults";
 import { type ClusterState, makeClusterState, type Revisioned } from "./clusterState";
+import { makeConfigurationReader } from "./configurationReader";
 import { makeEvacuationReader } from "./evacuationReader";
 import { longestWaitMs, type TableWatch, watchTable } from "./tableWatch";
 
@@ -57,28 +58,21 @@
     const { configuration: configSource, upstreams: upstreamSource } = ports.sources;
     const evacuations = makeEvacuationReader(ports.sources.evacuations, clusterState.evacuations, faults);
 
-    const applyConfigurations = (rows: readonly StoredRow[]): void => {
-        for (const row of rows) {
-            const config = faults.take(row, configSource.decode(row));
-            if (config !== undefined) {
-                clusterState.applyConfiguration(config, "store");
-            }
-        }
-    };
+    const configurations = makeConfigurationReader(configSource, clusterState, faults);
     const configuration = watchTable({
         table: configSource.table,
         minPollMs: () => 0,
         maxWaitMs,
         knownRevision: () => 0,
-        onUpToDate: clusterState.configurationAge.noteStoreAnswer,
+        onUpToDate: configurations.noteUpToDate,
         reader: {
             onSnapshot: (rows, asOf) => {
                 evacuations.onSnapshot(rows, asOf);
-                applyConfigurations(rows);
+                configurations.read(rows);
             },
             onChanges: (changes, asOf) => {
                 evacuations.onChanges(changes, asOf);
-                applyConfigurations(changes.rows);
+                configurations.read(changes.rows);
             },
         },
     }, context);
