Let an accepted ticket confirm nothing at the chat interface

The answer to the write of a ticket counted as confirming the configuration as of its arrival: 5 s late in the test, it made a 401 final by what was known 5 s before. Only a read of the table confirms now. The test failed before and passes.

--- a/packages/entry/src/config/configTask.ts
+++ b/packages/entry/src/config/configTask.ts
@@ -130,10 +130,9 @@
         applyAccepted: ({ revision, ticketRow, subjectRows }) => {
             const { isKnown, snapshot } = source.latest();
             if (isKnown) {
-                publishNewer(
-                    applyRows(snapshot, { revision, ticket: ticketRow.ticket, rows: subjectRows }),
-                    timer.nowMs(),
-                );
+                // The answer to the write may be late: only a read confirms that there is nothing newer.
+                const accepted = applyRows(snapshot, { revision, ticket: ticketRow.ticket, rows: subjectRows });
+                publishNewer(accepted, undefined);
             }
         },
         stop: () => {
