--- a/packages/gateway/src/peers/stateFollower.ts
+++ b/packages/gateway/src/peers/stateFollower.ts
@@ -48,6 +48,8 @@
 const otherRelayDelayMs = 250;
 /** Changes that relays have announced but not delivered for this long are read from the store. */
 const maxLagMs = 800;
+/** How long they may take if they are arriving. */
+const maxArrivingLagMs = 2_000;
 
 export function startStateFollower(options: StateFollowerOptions): StateFollower {
     const { context: { settings, timer, log }, watch, directory, links } = options;
@@ -98,10 +100,11 @@
         relays.forEach(subscribe);
         const isIncomplete = clusterState.routes() === undefined || !clusterState.hasCompleteList()
             || clusterState.evacuations.newest() === undefined;
-        const mustRead = source.mustReadStore(nowMs) || isIncomplete || announced.isLagging(nowMs)
+        const mustRead = source.mustReadStore(nowMs) || isIncomplete || announced.isLagging(nowMs, maxLagMs)
             || options.isPlanner();
         // Reading the store would bring the same over the same link, and delay both.
-        const waitsForRelay = !readsStore && isStateArriving() && !options.isPlanner();
+        const waitsForRelay = !readsStore && isStateArriving() && !announced.isLagging(nowMs, maxArrivingLagMs)
+            && !options.isPlanner();
         if (mustRead !== readsStore && !waitsForRelay) {
             log.info("stateSource", { readsStore: mustRead, relays });
             readsStore = mustRead;
@@ -171,8 +174,8 @@
     readonly note: (notice: StateNotice, nowMs: number) => void;
     /** The newest announcement of something that was missing. */
     readonly newest: () => StateNotice | undefined;
-    /** Whether something announced has been missing for longer than relays may take to deliver it. */
-    readonly isLagging: (nowMs: number) => boolean;
+    /** Whether something announced has been missing for longer than `lagMs`. */
+    readonly isLagging: (nowMs: number, lagMs: number) => boolean;
 };
 
 function makeAnnouncedLag(isBehind: (notice: StateNotice) => boolean): AnnouncedLag {
@@ -183,7 +186,8 @@
             missing = { notice, sinceMs: wasMissing ? missing!.sinceMs : nowMs };
         },
         newest: () => missing?.notice,
-        isLagging: nowMs => missing !== undefined && isBehind(missing.notice) && nowMs - missing.sinceMs > maxLagMs,
+        isLagging: (nowMs, lagMs) =>
+            missing !== undefined && isBehind(missing.notice) && nowMs - missing.sinceMs > lagMs,
     };
 }
 
--- a/packages/gateway/src/peers/stateRequester.ts
+++ b/packages/gateway/src/peers/stateRequester.ts
@@ -11,8 +11,8 @@
 export type StateRequester = (instance: string, mustConfirm?: boolean) => Promise<boolean>;
 
 export const stateRequestTimeoutMs = 900;
-/** A large configuration takes seconds over the slowest links, which carry other answers at the same time. */
-export const longestStateAnswerMs = 6_000;
+/** A large configuration takes seconds over the slowest links, which carry other answers at the same time; none starts over. */
+export const longestStateAnswerMs = 20_000;
 
 export function makeStateRequester(
     context: GatewayContext,
