Refuse heads and bodies as too large only by a confirmed configuration

Callers got 431 headTooLarge or 413 bodyTooLarge, which they never repeat, from a process whose configuration was not known to be the newest: one behind a raised max_header_bytes or max_body_bytes refused for good what the operator allows by now.

Cause: both bounds were compared outside the check that guards 401 and 404.

The head is now measured in lookUp of target.ts, so it is confirmed and decided anew like a key: served if the newer bound allows it, 431 if that is confirmed, and else 503 unconfirmedConfiguration. A body over the bound is confirmed after its reading has ended. What had arrived is dropped by then, so a body that the newer configuration allows gets 503, too. The body's decision moves from admit.ts to unreadBody.ts.

unreadablePath is now checked before the size of the head, as errors.md says.

--- a/packages/gateway/src/exchange/__tests__/unconfirmedRefusals.test.ts
+++ b/packages/gateway/src/exchange/__tests__/unconfirmedRefusals.test.ts
@@ -7,7 +7,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { type ConfigurationCheck } from "../../clusterState";
-import { configuration, type ServedRequests, startServedRequests, validKey } from "./servedRequests";
+import { configuration, maxBodyBytes, type ServedRequests, startServedRequests, validKey } from "./servedRequests";
 
 const addedKey = "added-key-00000000000";
 const waitMs = 150;
@@ -117,6 +117,84 @@
         }));
 }
 
+const raisedBytes = 2 * maxBodyBytes;
+const setBounds = (bounds: Partial<typeof configuration.bounds>) => ({ clusterState }: ServedRequests): void => {
+    const changed = { ...configuration.bounds, ...bounds };
+    clusterState.applyConfiguration({ ...configuration, version: 7, bounds: changed }, "store");
+};
+const smallHeads = { ...configuration, version: 6, bounds: { ...configuration.bounds, maxHeaderBytes: 1_000 } };
+const largeHead = post(served200, validKey, "{}").replace("\r\n\r\n", `\r\nx-padding: ${"x".repeat(2_000)}\r\n\r\n`);
+const largeBody = post(served200, validKey, "x".repeat(raisedBytes));
+const chunkedBody = largeBody.replace(/content-length[^]*/, "transfer-encoding: chunked\r\n\r\n")
+    + `${raisedBytes.toString(16)}\r\n${"x".repeat(raisedBytes)}\r\n0\r\n\r\n`;
+
+const boundCases: readonly {
+    name: string;
+    text: string;
+    change?: (served: ServedRequests) => void;
+    isConfirmed: boolean;
+    status: number;
+    code: string;
+}[] = [
+    {
+        name: "a head is confirmed to be too large",
+        text: largeHead,
+        isConfirmed: true,
+        status: 431,
+        code: "headTooLarge",
+    },
+    {
+        name: "a larger bound of heads comes with the answer",
+        text: largeHead,
+        change: setBounds({ maxHeaderBytes: 4_000 }),
+        isConfirmed: true,
+        status: 200,
+        code: "ok",
+    },
+    ...[{ framing: "with a length", text: largeBody }, { framing: "in chunks", text: chunkedBody }].flatMap((
+        { framing, text },
+    ) => [
+        {
+            name: `a body ${framing} is confirmed to be too large`,
+            text,
+            isConfirmed: true,
+            status: 413,
+            code: "bodyTooLarge",
+        },
+        {
+            name: `a larger bound than that of a body ${framing} comes with the answer`,
+            text,
+            change: setBounds({ maxBodyBytes: raisedBytes }),
+            isConfirmed: true,
+            status: 503,
+            code: "unconfirmedConfiguration",
+        },
+        {
+            name: `nothing confirms that a body ${framing} is too large`,
+            text,
+            isConfirmed: false,
+            status: 503,
+            code: "unconfirmedConfiguration",
+        },
+    ]),
+];
+
+for (const { name, text, change, isConfirmed, status, code } of boundCases) {
+    test(`DENIED: ${name}; a body that is not read closes its connection`, () =>
+        withServed(served => {
+            change?.(served);
+            return isConfirmed;
+        }, async served => {
+            served.clusterState.applyConfiguration(smallHeads, "peer");
+            const received = await served.sendAll(text, 1);
+            assert.is(Number(/^HTTP\/1\.1 (\d+)/.exec(received)?.[1]), status);
+            assert.equal(served.endedLines().map(line => line["code"]), [code]);
+            assert.is(/connection: close/i.test(received), text !== largeHead);
+            assert.is(served.bodies.length, status === 200 ? 1 : 0);
+            assert.is(served.heldBytes(), 0);
+        }));
+}
+
 test("DENIED: a refusal that is not final closes the connection of a body that is still to come", () =>
     withServed(() => false, async served => {
         const text = post(served200, addedKey, "x".repeat(500)).slice(0, -300);
@@ -125,6 +203,19 @@
         assert.match(received.toLowerCase(), /connection: close/);
     }));
 
+test("DENIED: a body that is too large, whose caller leaves during the wait, ends once and is not held", () =>
+    withServed(() => false, async served => {
+        const socket = connect(served.port, "127.0.0.1");
+        socket.on("error", () => undefined);
+        socket.write(chunkedBody.slice(0, -raisedBytes / 4));
+        await sleep(systemTimer, leftMs);
+        socket.destroy();
+        await sleep(systemTimer, 2 * waitMs);
+        assert.is(served.endedLines().length, 1);
+        assert.equal(served.bodies, []);
+        assert.is(served.heldBytes(), 0);
+    }));
+
 test("DENIED: a request whose caller leaves during the wait ends once, and is not sent on", () =>
     withServed(served => {
         addKey(served);
--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -5,10 +5,9 @@
     isFinalRefusal,
     isSendableHeaderValue,
     isSendableTarget,
-    type RouteTable,
     urgencyOf,
 } from "@rattanquay/core";
-import { type CallerBody, type CallerConnection, type HeldRequest } from "@rattanquay/peer";
+import { type CallerConnection, type HeldRequest } from "@rattanquay/peer";
 import { type ServingRoute } from "@rattanquay/schema";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { isEvacuationKnown } from "../clusterState";
@@ -18,9 +17,9 @@
 import { type ExchangeOutcome, runExchange } from "./exchange";
 import { type ExchangeDependencies } from "./exchangeDependencies";
 import { type AnswerSource, type DecisionBasis, describeDecision, isRecentlyConfirmed } from "./finalRefusal";
-import { countHeadBytes } from "./headSize";
 import { type Refusal, refusals, refuse } from "./refusals";
-import { findTarget, type FoundTarget, readBasis } from "./target";
+import { findTarget, type FoundTarget, type MeasuredHead, readBasis } from "./target";
+import { decideUnreadBody, maxBodyBytes } from "./unreadBody";
 
 type Arrival = {
     readonly request: IncomingMessage;
@@ -56,13 +55,6 @@
         refuseArrival(arrival, "noConfiguration", dependencies, {});
         return;
     }
-    const { maxHeaderBytes } = basis.routes.config.bounds;
-    const headBytes = countHeadBytes(request);
-    if (headBytes > maxHeaderBytes) {
-        const measured = { headBytes, maxHeadBytes: maxHeaderBytes };
-        refuseArrival(arrival, "headTooLarge", dependencies, { basis, measured });
-        return;
-    }
     if (!isSendableTarget(request.url ?? "/")) {
         refuseArrival(arrival, "unreadablePath", dependencies, { basis });
         return;
@@ -99,7 +91,14 @@
         limitMs: Math.max(0, bodyLimitMs(caller, route) - waitedMs),
     });
     if (reading.kind !== "read") {
-        refuseUnreadBody(arrival, reading, dependencies, { basis, route });
+        const decided = await decideUnreadBody(arrival, reading, basis, dependencies);
+        const decision = { ...decided, route };
+        if (decided.kind === "gone") {
+            recordGone(arrival, dependencies, decision);
+        }
+        else {
+            refuseArrival(arrival, decided.refusal, dependencies, decision);
+        }
         return;
     }
     const service = routes.findService(chooseService(route, dependencies.context.random()) ?? "");
@@ -125,37 +124,10 @@
     runExchange(admitted, dependencies, outcome => recordEnd(arrival, outcome, dependencies, { basis, route }));
 }
 
-/** The larger bound of the configuration on arrival and the one in force now: a body that either allows is not refused. */
-function maxBodyBytes({ config: { bounds } }: RouteTable, { clusterState }: ExchangeDependencies): number {
-    return Math.max(bounds.maxBodyBytes, clusterState.routes()?.config.bounds.maxBodyBytes ?? 0);
-}
-
 function bodyLimitMs({ deadlineMs }: CallerRequest, { timeoutMs }: ServingRoute): number {
     return Math.min(timeoutMs, deadlineMs ?? timeoutMs);
 }
 
-const bodyRefusals = {
-    tooLarge: "bodyTooLarge",
-    late: "bodyTimeout",
-    busy: "busy",
-    gone: undefined,
-} as const;
-
-function refuseUnreadBody(
-    arrival: Arrival,
-    body: Exclude<CallerBody, { readonly kind: "read" }>,
-    dependencies: ExchangeDependencies,
-    decision: Decision,
-): void {
-    const refusal = bodyRefusals[body.kind];
-    if (refusal === undefined) {
-        recordGone(arrival, dependencies, decision);
-        return;
-    }
-    const bodyBytes = body.kind === "tooLarge" ? body.bytes : undefined;
-    refuseArrival(arrival, refusal, dependencies, { ...decision, bodyBytes });
-}
-
 function recordGone(arrival: Arrival, dependencies: ExchangeDependencies, decision: Decision): void {
     recordEnd(arrival, { ending: "callerGone", code: "callerGone", status: 0 }, dependencies, decision);
 }
@@ -179,8 +151,7 @@
     readonly route?: ServingRoute;
     readonly bodyBytes?: number | undefined;
     readonly source?: AnswerSource | undefined;
-    /** What was over a bound, and the bound. */
-    readonly measured?: { readonly headBytes: number; readonly maxHeadBytes: number } | undefined;
+    readonly measured?: MeasuredHead;
 };
 
 function recordEnd(
--- a/packages/gateway/src/exchange/target.ts
+++ b/packages/gateway/src/exchange/target.ts
@@ -1,5 +1,5 @@
 /**
- * Finds the route and the workspace of a request.
+ * Checks the size of a request's head, and finds its route and workspace.
  *
  * A request that the configuration in force does not allow is refused for good only if that configuration is known to be the
  * newest: its caller never repeats it then. Otherwise it waits a moment for the answer of the store or of a relay.
@@ -10,6 +10,7 @@
 import { type CallerRequest } from "../ports";
 import { type ExchangeDependencies } from "./exchangeDependencies";
 import { type DecisionBasis } from "./finalRefusal";
+import { countHeadBytes } from "./headSize";
 import { type Refusal } from "./refusals";
 
 export type FoundTarget = {
@@ -24,8 +25,12 @@
     readonly basis: DecisionBasis;
     readonly refusal: Refusal;
     readonly route?: ServingRoute;
+    readonly measured?: MeasuredHead;
 };
 
+/** The size of a head that is over the bound, and the bound. */
+export type MeasuredHead = { readonly headBytes: number; readonly maxHeadBytes: number };
+
 /** `gone`: the caller has left while the request waited. */
 export type Target = FoundTarget | RefusedTarget | { readonly kind: "gone"; readonly basis: DecisionBasis };
 
@@ -73,6 +78,10 @@
 
 function lookUp({ request, caller }: TargetRequest, basis: DecisionBasis): FoundTarget | RefusedTarget {
     const { routes } = basis;
+    const measured = { headBytes: countHeadBytes(request), maxHeadBytes: routes.config.bounds.maxHeaderBytes };
+    if (measured.headBytes > measured.maxHeadBytes) {
+        return { kind: "refused", basis, refusal: "headTooLarge", measured };
+    }
     const { host } = request.headers;
     const route = routes.findRoute(host, pathOfTarget(request.url ?? "/", host));
     if (route === undefined) {
