Log on what a request is refused as unconfirmed was decided

Operators who looked up a 503 unconfirmedConfiguration saw neither by which configuration it was decided, nor how old that was or since when it was unconfirmed, although that is what they must find out.

Cause: decidedOn was written by status, for final ones only. It is now written for this code, too, with the configuration that was in force after the wait. isFinalRefusal and rattanquay_gateway_final_refusals_total stay as they were: a 503 is not final and isn't counted.

Evidence: the test of unconfirmedEvidence.test.ts failed before ("no decidedOn") and passes. unconfirmedRefusals.test.ts now also checks the version and the size of a body in decidedOn, and the counter: 4 of its 17 tests failed on the code before, all pass.

--- a/packages/gateway/src/exchange/__tests__/unconfirmedRefusals.test.ts
+++ b/packages/gateway/src/exchange/__tests__/unconfirmedRefusals.test.ts
@@ -7,6 +7,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { type ConfigurationCheck } from "../../clusterState";
+import { type DecidedOn } from "../finalRefusal";
 import { configuration, maxBodyBytes, type ServedRequests, startServedRequests, validKey } from "./servedRequests";
 
 const addedKey = "added-key-00000000000";
@@ -188,7 +189,14 @@
             served.clusterState.applyConfiguration(smallHeads, "peer");
             const received = await served.sendAll(text, 1);
             assert.is(Number(/^HTTP\/1\.1 (\d+)/.exec(received)?.[1]), status);
-            assert.equal(served.endedLines().map(line => line["code"]), [code]);
+            const [line, ...others] = served.endedLines();
+            assert.equal([line!["code"], ...others], [code]);
+            const decidedOn = line!["decidedOn"] as DecidedOn | undefined;
+            const version = status === 200 ? undefined : change === undefined ? 6 : 7;
+            assert.is(decidedOn?.configVersion, version);
+            assert.is(decidedOn?.bodyBytes !== undefined, status !== 200 && text !== largeHead);
+            const { values } = await served.metrics.finalRefusals.get();
+            assert.is(values.length, status === 200 || status === 503 ? 0 : 1);
             assert.is(/connection: close/i.test(received), text !== largeHead);
             assert.is(served.bodies.length, status === 200 ? 1 : 0);
             assert.is(served.heldBytes(), 0);
--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -33,6 +33,9 @@
 /** Retry delay while no configuration is known or confirmed: the process should have read the newest one by then. */
 const startRetryAfterMs = 500;
 
+/** The code of a refusal that is not final only because the configuration is not confirmed. */
+const unconfirmedCode: Refusal = "unconfirmedConfiguration";
+
 /** Serves one request. Each request writes exactly one `requestEnded` log line. */
 export async function serveRequest(
     request: IncomingMessage,
@@ -178,17 +181,20 @@
     });
 }
 
-/** For an answer that tells the caller that it is wrong: what that rests on. */
+/** For an answer that tells the caller that it is wrong, or that would if the configuration were confirmed: what that rests on. */
 function decisionFields(
     { caller, request }: Arrival,
     { code, status }: ExchangeOutcome,
     { basis, route, bodyBytes, source }: Decision,
     { context: { metrics } }: ExchangeDependencies,
 ) {
-    if (basis === undefined || !isFinalRefusal(status)) {
+    const isFinal = isFinalRefusal(status);
+    if (basis === undefined || !isFinal && code !== unconfirmedCode) {
         return {};
     }
-    metrics.finalRefusals.inc({ code, isConfirmed: String(isRecentlyConfirmed(basis)) });
+    if (isFinal) {
+        metrics.finalRefusals.inc({ code, isConfirmed: String(isRecentlyConfirmed(basis)) });
+    }
     const refusal = { host: request.headers.host, key: caller.key, route, bodyBytes, source };
     return { decidedOn: describeDecision(basis, refusal) };
 }
--- a/packages/gateway/src/exchange/finalRefusal.ts
+++ b/packages/gateway/src/exchange/finalRefusal.ts
@@ -1,6 +1,6 @@
 /**
  * Describes on what a final refusal was decided: an answer that tells the caller that its request is wrong, so that
- * the caller does not repeat it.
+ * the caller does not repeat it. A refusal that lacks only the confirmation of the configuration is described in the same way.
  */
 import { type RouteTable } from "@rattanquay/core";
 import { type ServingRoute } from "@rattanquay/schema";
