Log the bound by which a body was refused as too large

Operators saw in decidedOn of a 413 the max_body_bytes of the configuration on arrival, though a larger one that came into force during the upload had decided: the line blamed a bound that no longer applied.

Cause: the line took the bound from the configuration of the arrival, while the reading compares with the larger one of that and the one in force. The decision now carries the bound that it compared with, and the line's version and ages are those of the configuration in force at the decision, which is also the one that was checked for being confirmed. If the bound was lowered, maxBodyBytes is that of the arrival.

--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -16,7 +16,13 @@
 import { type CallerAnswer, type CallerResponse, makeCallerAnswer } from "./callerAnswer";
 import { type ExchangeOutcome, runExchange } from "./exchange";
 import { type ExchangeDependencies } from "./exchangeDependencies";
-import { type AnswerSource, type DecisionBasis, describeDecision, isRecentlyConfirmed } from "./finalRefusal";
+import {
+    type AnswerSource,
+    type DecisionBasis,
+    describeDecision,
+    isRecentlyConfirmed,
+    type MeasuredBody,
+} from "./finalRefusal";
 import { type Refusal, refusals, refuse } from "./refusals";
 import { findTarget, type FoundTarget, type MeasuredHead, readBasis } from "./target";
 import { decideUnreadBody, maxBodyBytes } from "./unreadBody";
@@ -152,7 +158,7 @@
     /** Undefined if no configuration was in force. */
     readonly basis?: DecisionBasis | undefined;
     readonly route?: ServingRoute;
-    readonly bodyBytes?: number | undefined;
+    readonly body?: MeasuredBody | undefined;
     readonly source?: AnswerSource | undefined;
     readonly measured?: MeasuredHead;
 };
@@ -185,7 +191,7 @@
 function decisionFields(
     { caller, request }: Arrival,
     { code, status }: ExchangeOutcome,
-    { basis, route, bodyBytes, source }: Decision,
+    { basis, route, body, source }: Decision,
     { context: { metrics } }: ExchangeDependencies,
 ) {
     const isFinal = isFinalRefusal(status);
@@ -195,7 +201,7 @@
     if (isFinal) {
         metrics.finalRefusals.inc({ code, isConfirmed: String(isRecentlyConfirmed(basis)) });
     }
-    const refusal = { host: request.headers.host, key: caller.key, route, bodyBytes, source };
+    const refusal = { host: request.headers.host, key: caller.key, route, body, source };
     return { decidedOn: describeDecision(basis, refusal) };
 }
 
--- a/packages/gateway/src/exchange/finalRefusal.ts
+++ b/packages/gateway/src/exchange/finalRefusal.ts
@@ -21,12 +21,14 @@
     readonly isSealed: boolean;
 };
 
+/** The size of a body that is too large, as announced or as far as it was read, and the bound that decided. */
+export type MeasuredBody = { readonly bodyBytes: number; readonly maxBodyBytes: number };
+
 export type FinalRefusal = {
     readonly host: string | undefined;
     readonly key: string | undefined;
     readonly route: ServingRoute | undefined;
-    /** The size of a body that is too large: as announced, or as far as it was read. */
-    readonly bodyBytes?: number;
+    readonly body?: MeasuredBody;
     readonly source?: AnswerSource;
 };
 
@@ -45,7 +47,7 @@
 /** Ages are in milliseconds, as of the time at which the configuration was read. */
 export function describeDecision(
     { routes, evidence, readAtMs }: DecisionBasis,
-    { host, key, route, bodyBytes, source }: FinalRefusal,
+    { host, key, route, body, source }: FinalRefusal,
 ) {
     const { origin, inForceSinceMs, confirmedAtMs, newestKnownVersion } = evidence;
     return {
@@ -59,7 +61,7 @@
         keyDigest: key === undefined ? undefined : digestKey(key),
         isKeyKnown: key === undefined ? undefined : routes.findWorkspace(key) !== undefined,
         requiresKey: routes.requiresKeys && route?.isPublic !== true,
-        ...bodyBytes === undefined ? {} : { bodyBytes, maxBodyBytes: routes.config.bounds.maxBodyBytes },
+        ...body,
         ...source,
     };
 }
--- a/packages/gateway/src/exchange/unreadBody.ts
+++ b/packages/gateway/src/exchange/unreadBody.ts
@@ -9,7 +9,7 @@
 import { type IncomingMessage } from "node:http";
 import { type CallerAnswer } from "./callerAnswer";
 import { type ExchangeDependencies } from "./exchangeDependencies";
-import { type DecisionBasis } from "./finalRefusal";
+import { type DecisionBasis, type MeasuredBody } from "./finalRefusal";
 import { type Refusal } from "./refusals";
 import { readBasis } from "./target";
 
@@ -23,7 +23,7 @@
         readonly kind: "refused";
         readonly basis: DecisionBasis;
         readonly refusal: Refusal;
-        readonly bodyBytes?: number;
+        readonly body?: MeasuredBody;
     };
 
 type BodyArrival = { readonly request: IncomingMessage; readonly answer: Pick<CallerAnswer, "closeConnectionAfter"> };
@@ -60,19 +60,20 @@
     dependencies: ExchangeDependencies,
 ): Promise<UnreadBodyDecision> {
     const { configurationCheck } = dependencies;
+    const decide = (): UnreadBodyDecision => {
+        const body = { bodyBytes: bytes, maxBodyBytes: maxBodyBytes(before.routes, dependencies) };
+        const isFinal = bytes > body.maxBodyBytes && configurationCheck.isConfirmed();
+        const basis = readBasis(dependencies) ?? before;
+        return { kind: "refused", basis, refusal: isFinal ? "bodyTooLarge" : "unconfirmedConfiguration", body };
+    };
     if (configurationCheck.isConfirmed()) {
-        return { kind: "refused", basis: before, refusal: "bodyTooLarge", bodyBytes: bytes };
+        return decide();
     }
     if (!request.complete) {
-        // The rest of the body is not read, so no request behind it may start during the wait.
+        // The rest of the body is not read, so no other request can follow on the connection.
         answer.closeConnectionAfter();
     }
     await configurationCheck.confirm();
-    const basis = readBasis(dependencies) ?? before;
     // The request itself counts as destroyed once the rest of its body has been dropped.
-    if (request.socket.destroyed) {
-        return { kind: "gone", basis };
-    }
-    const isFinal = bytes > maxBodyBytes(before.routes, dependencies) && configurationCheck.isConfirmed();
-    return { kind: "refused", basis, refusal: isFinal ? "bodyTooLarge" : "unconfirmedConfiguration", bodyBytes: bytes };
+    return request.socket.destroyed ? { kind: "gone", basis: readBasis(dependencies) ?? before } : decide();
 }
