Reproduce a connection that stays unread behind a body that is too large

A request that waits for a confirmation and whose body arrives whole meanwhile gets 413 (or 503) with keep-alive, and the next request on the connection gets no answer within 1 s.

--- a/packages/gateway/src/exchange/__tests__/unconfirmedRefusals.test.ts
+++ b/packages/gateway/src/exchange/__tests__/unconfirmedRefusals.test.ts
@@ -211,6 +211,27 @@
         assert.match(received.toLowerCase(), /connection: close/);
     }));
 
+test("DENIED: a connection stays open and unread behind a body that is too large and arrived whole during a wait", () =>
+    withServed(served => {
+        addKey(served);
+        return true;
+    }, async served => {
+        const socket = connect(served.port, "127.0.0.1");
+        let received = "";
+        let isClosed = false;
+        socket.on("error", () => undefined);
+        socket.on("close", () => isClosed = true);
+        socket.on("data", bytes => received += bytes.toString("latin1"));
+        socket.write(post(served200, addedKey, "x".repeat(raisedBytes)));
+        await sleep(systemTimer, 2 * waitMs);
+        assert.match(received, /^HTTP\/1\.1 413 /);
+        socket.write(post(served200, validKey, "second"));
+        await sleep(systemTimer, 1_000);
+        const isAnswered = / 200 /.test(received);
+        socket.destroy();
+        assert.ok(isAnswered || isClosed, "neither an answer to the next request nor a closed connection");
+    }));
+
 test("DENIED: a body that is too large, whose caller leaves during the wait, ends once and is not held", () =>
     withServed(() => false, async served => {
         const socket = connect(served.port, "127.0.0.1");
