Go on reading a connection behind a body that came whole and is refused

A caller whose body was too large, or came while its process was busy, got its refusal with the connection kept open, and no answer to its next request: reading was stopped for a body of which nothing was left. Reading is stopped now only if more of it is due, as the connection is then closed.

--- a/packages/peer/src/callers/callerBody.ts
+++ b/packages/peer/src/callers/callerBody.ts
@@ -60,7 +60,12 @@
                 if (!holding.isPaused) {
                     request.resume();
                 }
-                timer.after(0, () => stopReading(request));
+                timer.after(0, () => {
+                    // Behind a body that has come whole, the connection goes on to the next request.
+                    if (!request.complete) {
+                        stopReading(request);
+                    }
+                });
             }
             resolve(body);
         };
