Keep a relay current while a large answer of the store is arriving

Callers behind relays saw a whole zone turn to the store whenever a large configuration was written: each relay stopped calling itself current while the configuration arrived over its link.

Cause: the age of the store's last answer counted until the next one was complete, and a relay is current for 850 ms of it only. An answer of 0.68 MB at 9.8 Mbit/s, late in a poll of 500 ms, takes longer.

The store's client now reports the parts of a successful answer as they arrive (`onProgress` of `RowStore.read` and `follow`), and the age of the watch counts from the last bytes of the call under way. Parts of an error don't count. Neither do those of a call from before a suspension. Bytes confirm no configuration: that still counts from the question of an answer that has been applied.

What the watch knows of the store's answers is moved to storeAvailability.ts.

The new test was not run on the code before.

--- a/packages/gateway/src/clusterState/__tests__/watchClusterState.test.ts
+++ b/packages/gateway/src/clusterState/__tests__/watchClusterState.test.ts
@@ -154,6 +154,66 @@
     });
 }
 
+for (const table of tables) {
+    test(`DENIED, DRAIN: a relay is called current after the answer about the table "${table}" that was arriving has stalled`, async () => {
+        const timer = new VirtualTimer();
+        const { store } = makeStore(timer, 800);
+        const source = (name: string): RecordSource<never> => ({ table: name, decode: () => ({ kind: "unrelated" }) });
+        let isLarge = false;
+        let lastPartAtMs = Infinity;
+        const arriving: RowStore = {
+            ...store,
+            follow: async (name, after, waitMs, onProgress) => {
+                const outcome = await store.follow(name, after, waitMs);
+                if (!isLarge || name !== table) {
+                    return outcome;
+                }
+                const cancel = timer.every(100, () => {
+                    if (timer.nowMs() <= lastPartAtMs) {
+                        onProgress?.();
+                    }
+                });
+                await new Promise<void>(resolve => timer.after(10 * settledMs, resolve));
+                cancel();
+                return { kind: "unanswered", reason: "stalled" };
+            },
+        };
+        const watch = watchClusterState(
+            {
+                settings: { bounds: { contactMs: 3_000 } },
+                ports: { store: arriving, sources: { configuration: source("op"), upstreams: source("servers") } },
+                timer,
+                log: silentLog,
+                metrics: makeGatewayMetrics(),
+                random: () => 0.5,
+                onFatalError: assert.unreachable,
+            } as unknown as GatewayContext,
+            () => false,
+        );
+        const seen: boolean[] = [];
+        const advance = async (durationMs: number): Promise<void> => {
+            for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
+                timer.advance(stepMs);
+                await settlePromises();
+                seen.push(watch.isCurrent());
+            }
+        };
+        watch.setRelaying(true);
+        await advance(4 * settledMs);
+        seen.length = 0;
+        isLarge = true;
+        await advance(4 * settledMs);
+        assert.ok(seen.every(isCurrent => isCurrent), "not current while an answer arrives");
+        lastPartAtMs = timer.nowMs();
+        await advance(noticedWithinMs);
+        assert.not(watch.isCurrent());
+        watch.setActive(false);
+        watch.setActive(true);
+        assert.not(watch.isCurrent(), "current by the bytes of a call from before a suspension");
+        watch.stop();
+    });
+}
+
 test("CONFIG: a silent store no longer confirms the configuration, and its last answer counts from the question", async () => {
     const timer = new VirtualTimer();
     const { store, silence } = makeStore(timer, 800);
--- a/packages/gateway/src/clusterState/tableWatch.ts
+++ b/packages/gateway/src/clusterState/tableWatch.ts
@@ -9,6 +9,7 @@
 import { type GatewayContext } from "../gatewayContext";
 import { type RowChanges, type StoredRow, type StoreOutcome } from "../ports";
 import { makeAnswerCheck } from "./answerCheck";
+import { makeStoreAvailability } from "./storeAvailability";
 
 export type TableReader = {
     readonly onSnapshot: (rows: readonly StoredRow[], asOf: number) => void;
@@ -29,7 +30,10 @@
     readonly isUnavailable: () => boolean;
     /** Whether the watch is active and the store answered its last call. */
     readonly isCurrent: () => boolean;
-    /** Time since the store's last answer; infinite before the first one since the watch was resumed. */
+    /**
+     * Time since the store's last answer, or since the last bytes of one that is arriving; infinite before the first answer
+     * since the watch was resumed.
+     */
     readonly answerAgeMs: () => number;
     /** When the store last became available again after an outage. */
     readonly returnedAtMs: () => number | undefined;
@@ -71,37 +75,15 @@
     const { timer, log, ports, random } = context;
     const { table, reader } = options;
     let running = true;
-    let returnedAtMs: number | undefined;
-    let unavailableSinceMs: number | undefined;
     let after: number | undefined;
-    let failures = 0;
     let active = true;
     let resume = (): void => undefined;
-    /** The last answer since the watch was resumed. */
-    let answeredAtMs = -Infinity;
+    const availability = makeStoreAvailability(table, context);
     const checkApplied = makeAnswerCheck(options.onUpToDate ?? (() => undefined));
 
-    const noteOutcome = (outcome: StoreOutcome<unknown>): void => {
-        const nowMs = timer.nowMs();
-        if (outcome.kind === "done" || outcome.kind === "historyLost") {
-            failures = 0;
-            answeredAtMs = nowMs;
-            if (unavailableSinceMs !== undefined) {
-                log.info("storeRegained", { table, awayMs: Math.round(nowMs - unavailableSinceMs) });
-                returnedAtMs = nowMs;
-                unavailableSinceMs = undefined;
-            }
-            return;
-        }
-        failures++;
-        if (unavailableSinceMs === undefined) {
-            unavailableSinceMs = nowMs;
-            log.warn("storeLost", { table, outcome: outcome.kind, reason: reasonOf(outcome) });
-        }
-    };
     const readAll = async (): Promise<void> => {
-        const outcome = await ports.store.read(table);
-        noteOutcome(outcome);
+        const outcome = await ports.store.read(table, availability.noteProgress);
+        availability.noteOutcome(outcome);
         if (outcome.kind === "done") {
             after = outcome.stamp.storeRevision;
             reader.onSnapshot(outcome.value, after);
@@ -110,9 +92,9 @@
     };
     const follow = async (from: number): Promise<void> => {
         // A long poll would delay the notice that the store is available, after an outage or a suspension.
-        const waitMs = answeredAtMs > -Infinity && failures === 0 ? options.maxWaitMs() : 0;
-        const outcome = await ports.store.follow(table, from, waitMs);
-        noteOutcome(outcome);
+        const waitMs = availability.isAnswered() ? options.maxWaitMs() : 0;
+        const outcome = await ports.store.follow(table, from, waitMs, availability.noteProgress);
+        availability.noteOutcome(outcome);
         if (outcome.kind === "done") {
             after = Math.max(from, after ?? from, outcome.stamp.storeRevision);
             reader.onChanges(outcome.value, after);
@@ -138,7 +120,9 @@
         return outcome.kind === "done";
     };
     const pauseMs = (beganAtMs: number): number =>
-        failures > 0 ? backoffMs(failures, random()) : options.minPollMs() - (timer.nowMs() - beganAtMs);
+        availability.failures() > 0
+            ? backoffMs(availability.failures(), random())
+            : options.minPollMs() - (timer.nowMs() - beganAtMs);
     const run = async (): Promise<void> => {
         while (running) {
             if (!active) {
@@ -161,7 +145,7 @@
         },
         setActive: next => {
             if (next && !active) {
-                answeredAtMs = -Infinity;
+                availability.forgetAnswer();
                 active = true;
                 resume();
             }
@@ -170,10 +154,10 @@
         confirm: async () => active && await confirmAnyway(),
         confirmAnyway,
         isActive: () => active,
-        isUnavailable: () => active && unavailableSinceMs !== undefined,
-        isCurrent: () => active && answeredAtMs > -Infinity && failures === 0,
-        answerAgeMs: () => timer.nowMs() - answeredAtMs,
-        returnedAtMs: () => returnedAtMs,
+        isUnavailable: () => active && availability.isUnavailable(),
+        isCurrent: () => active && availability.isAnswered(),
+        answerAgeMs: availability.answerAgeMs,
+        returnedAtMs: availability.returnedAtMs,
     };
 }
 
@@ -189,7 +173,3 @@
     const factor = minBackoffFactor + (maxBackoffFactor - minBackoffFactor) * random;
     return Math.min(maxBackoffMs, initialBackoffMs * 2 ** (failures - 1)) * factor;
 }
-
-function reasonOf(outcome: StoreOutcome<unknown>): string | undefined {
-    return outcome.kind === "refused" || outcome.kind === "unanswered" ? outcome.reason : undefined;
-}
--- a/packages/gateway/src/clusterState/watchClusterState.ts
+++ b/packages/gateway/src/clusterState/watchClusterState.ts
@@ -31,7 +31,8 @@
 const defaultPollMs = 600;
 /**
  * A connection to the store can go silent without an error. A relay polls the configuration and the list this often even
- * without changes, and no longer counts as current when an answer about either is overdue.
+ * without changes, and no longer counts as current when an answer about either is overdue. An answer that is arriving is
+ * not overdue: a large configuration takes longer than this over a slow link.
  */
 const relayWaitMs = 500;
 const maxAnswerAgeMs = 850;
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -48,12 +48,23 @@
     readonly remove: readonly RowWrite[];
 };
 
+/**
+ * Called whenever bytes of a successful answer have arrived, until the call ends. The store's client bounds how long an
+ * answer may stall and how long it may take as a whole.
+ */
+export type AnswerProgress = () => void;
+
 /** The platform's transactional store with a change feed. */
 export type RowStore = {
     /** Reads all rows of a table. Each page is consistent in itself. */
-    readonly read: (table: string) => Promise<StoreOutcome<readonly StoredRow[]>>;
+    readonly read: (table: string, onProgress?: AnswerProgress) => Promise<StoreOutcome<readonly StoredRow[]>>;
     /** Resolves to the changes after a revision as soon as there are any, or to none after `waitMs`. */
-    readonly follow: (table: string, after: number, waitMs: number) => Promise<StoreOutcome<RowChanges>>;
+    readonly follow: (
+        table: string,
+        after: number,
+        waitMs: number,
+        onProgress?: AnswerProgress,
+    ) => Promise<StoreOutcome<RowChanges>>;
     /** How long after `waitMs` a `follow` without an answer is given up. */
     readonly followSlackMs: number;
     readonly write: (transaction: RowTransaction) => Promise<StoreOutcome<void>>;
