Confirm a suspended watch by a full read when its history is lost

Callers with a wrong key got 503 for good from processes behind relays, where 401 is due, once the store had dropped the history since the process's last read: the configuration could no longer be confirmed by the store.

Cause: `confirmAnyway` took 410 for no answer, and a suspended watch never reads the table, so each later question followed the same lost revision. A watch that never read its table could not be confirmed by the store either.

On `historyLost`, or without a revision to follow from, a confirmation now reads the whole table and applies it as a full read, which also gives the next question a revision to follow from. It joins a read of the running watch. The answer to a read is dropped if it is older than what was read meanwhile, so it can't replace newer rows and confirm older ones.

The new case in tableWatch.test.ts fails on the code before.

--- a/packages/gateway/src/clusterState/__tests__/tableWatch.test.ts
+++ b/packages/gateway/src/clusterState/__tests__/tableWatch.test.ts
@@ -59,6 +59,47 @@
     watch.stop();
 });
 
+test("CONFIG: a suspended watch that was never read, or has lost its history, is confirmed by a full read that is applied", async () => {
+    const timer = new VirtualTimer();
+    const calls: string[] = [];
+    const snapshots: number[] = [];
+    let revision = 7;
+    let oldestKept = 0;
+    let isRefusing = true;
+    const store: RowStore = {
+        followSlackMs: 0,
+        read: async () => {
+            calls.push("read");
+            return isRefusing ? { kind: "refused", reason: "status 503" } : done([], revision);
+        },
+        follow: async (unused, after) => {
+            calls.push(`follow ${after}`);
+            return after < oldestKept ? { kind: "historyLost" } : done({ rows: [], removed: [] }, revision);
+        },
+        write: async () => done(undefined, revision),
+    };
+    const context = { timer, log: silentLog, ports: { store }, random: () => 0, onFatalError: assert.unreachable };
+    const watch = watchTable({
+        table: "op",
+        minPollMs: () => 0,
+        maxWaitMs: () => pollMs,
+        knownRevision: () => 0,
+        reader: { onSnapshot: (unused, asOf) => snapshots.push(asOf), onChanges: () => undefined },
+    }, context as unknown as GatewayContext);
+    watch.setActive(false);
+    await settlePromises();
+    assert.is(await watch.confirmAnyway(), false);
+    isRefusing = false;
+    assert.is(await watch.confirmAnyway(), true);
+    revision = 90;
+    oldestKept = 50;
+    assert.is(await watch.confirmAnyway(), true);
+    assert.is(await watch.confirmAnyway(), true);
+    assert.equal(calls, ["read", "read", "read", "follow 7", "read", "follow 90"]);
+    assert.equal(snapshots, [7, 90]);
+    watch.stop();
+});
+
 /**
  * A store whose answers are given by the test and carry the time of their question, and the times as of which the watch
  * calls its table up to date.
--- a/packages/gateway/src/clusterState/tableWatch.ts
+++ b/packages/gateway/src/clusterState/tableWatch.ts
@@ -21,9 +21,12 @@
     readonly stop: () => void;
     /** Suspends or resumes the watch. A call in progress at a suspension is completed. */
     readonly setActive: (isActive: boolean) => void;
-    /** Asks the store for changes at once, beside the running poll. Resolves to whether it answered. */
+    /**
+     * Asks the store for changes at once, beside the running poll, and reads the whole table if it was never read or the
+     * store no longer keeps the history. Resolves to whether an answer was applied.
+     */
     readonly confirm: () => Promise<boolean>;
-    /** The same, also while the watch is suspended. Resolves to false if the table was never read. */
+    /** The same, also while the watch is suspended. */
     readonly confirmAnyway: () => Promise<boolean>;
     readonly isActive: () => boolean;
     /** Whether the last call to the store failed; false while the watch is suspended. */
@@ -77,18 +80,26 @@
     let running = true;
     let after: number | undefined;
     let active = true;
+    /** The full read of the running watch that is under way; a confirmation that needs one joins it. */
+    let ownRead: Promise<boolean> | undefined;
     let resume = (): void => undefined;
     const availability = makeStoreAvailability(table, context);
     const checkApplied = makeAnswerCheck(options.onUpToDate ?? (() => undefined));
 
-    const readAll = async (): Promise<void> => {
+    /** Returns whether the answer to a full read was applied, which one older than what was read meanwhile is not. */
+    const applyRead = (outcome: StoreOutcome<readonly StoredRow[]>): boolean => {
+        if (outcome.kind !== "done" || outcome.stamp.storeRevision < (after ?? 0)) {
+            return false;
+        }
+        after = outcome.stamp.storeRevision;
+        reader.onSnapshot(outcome.value, after);
+        checkApplied(outcome.stamp);
+        return true;
+    };
+    const readAll = async (): Promise<boolean> => {
         const outcome = await ports.store.read(table, availability.noteProgress);
         availability.noteOutcome(outcome);
-        if (outcome.kind === "done") {
-            after = outcome.stamp.storeRevision;
-            reader.onSnapshot(outcome.value, after);
-            checkApplied(outcome.stamp);
-        }
+        return applyRead(outcome);
     };
     const follow = async (from: number): Promise<void> => {
         // A long poll would delay the notice that the store is available, after an outage or a suspension.
@@ -105,11 +116,8 @@
             after = undefined;
         }
     };
-    const confirmAnyway = async (): Promise<boolean> => {
-        if (after === undefined) {
-            return false;
-        }
-        const outcome = await ports.store.follow(table, after, 0);
+    const confirmByChanges = async (from: number): Promise<StoreOutcome<RowChanges>["kind"]> => {
+        const outcome = await ports.store.follow(table, from, 0);
         if (outcome.kind === "done") {
             const asOf = Math.max(after ?? 0, outcome.stamp.storeRevision);
             // If the watch has lost its history meanwhile, it must still read the whole table.
@@ -117,7 +125,17 @@
             reader.onChanges(outcome.value, asOf);
             checkApplied(outcome.stamp);
         }
-        return outcome.kind === "done";
+        if (outcome.kind === "historyLost") {
+            log.warn("historyLost", { table, after: from });
+            after = after === from ? undefined : after;
+        }
+        return outcome.kind;
+    };
+    const confirmAnyway = async (): Promise<boolean> => {
+        const kind = after === undefined ? "historyLost" : await confirmByChanges(after);
+        return kind === "historyLost"
+            ? await (ownRead ?? ports.store.read(table).then(applyRead))
+            : kind === "done";
     };
     const pauseMs = (beganAtMs: number): number =>
         availability.failures() > 0
@@ -130,7 +148,13 @@
                 continue;
             }
             const beganAtMs = timer.nowMs();
-            await (after === undefined ? readAll() : follow(Math.max(after, options.knownRevision())));
+            if (after === undefined) {
+                ownRead = readAll().finally(() => ownRead = undefined);
+                await ownRead;
+            }
+            else {
+                await follow(Math.max(after, options.knownRevision()));
+            }
             const pause = pauseMs(beganAtMs);
             if (pause > 0) {
                 await sleep(timer, pause);
