--- a/packages/gateway/src/clusterState/tableWatch.ts
+++ b/packages/gateway/src/clusterState/tableWatch.ts
@@ -9,6 +9,7 @@
 import { type GatewayContext } from "../gatewayContext";
 import { type RowChanges, type StoredRow, type StoreOutcome } from "../ports";
 import { makeAnswerCheck } from "./answerCheck";
+import { makeStoreAvailability } from "./storeAvailability";
 
 export type TableReader = {
     readonly onSnapshot: (rows: readonly StoredRow[], asOf: number) => void;
@@ -20,16 +21,22 @@
     readonly stop: () => void;
     /** Suspends or resumes the watch. A call in progress at a suspension is completed. */
     readonly setActive: (isActive: boolean) => void;
-    /** Asks the store for changes at once, beside the running poll. Resolves to whether it answered. */
+    /**
+     * Asks the store for changes at once, beside the running poll, and reads the whole table if it was never read or the
+     * store no longer keeps the history. Resolves to whether an answer was applied.
+     */
     readonly confirm: () => Promise<boolean>;
-    /** The same, also while the watch is suspended. Resolves to false if the table was never read. */
+    /** The same, also while the watch is suspended. */
     readonly confirmAnyway: () => Promise<boolean>;
     readonly isActive: () => boolean;
     /** Whether the last call to the store failed; false while the watch is suspended. */
     readonly isUnavailable: () => boolean;
     /** Whether the watch is active and the store answered its last call. */
     readonly isCurrent: () => boolean;
-    /** Time since the store's last answer; infinite before the first one since the watch was resumed. */
+    /**
+     * Time since the store's last answer, or since the last bytes of one that is arriving; infinite before the first answer
+     * since the watch was resumed.
+     */
     readonly answerAgeMs: () => number;
     /** When the store last became available again after an outage. */
     readonly returnedAtMs: () => number | undefined;
@@ -71,48 +78,34 @@
     const { timer, log, ports, random } = context;
     const { table, reader } = options;
     let running = true;
-    let returnedAtMs: number | undefined;
-    let unavailableSinceMs: number | undefined;
     let after: number | undefined;
-    let failures = 0;
     let active = true;
+    /** The full read of the running watch that is under way; a confirmation that needs one joins it. */
+    let ownRead: Promise<boolean> | undefined;
     let resume = (): void => undefined;
-    /** The last answer since the watch was resumed. */
-    let answeredAtMs = -Infinity;
+    const availability = makeStoreAvailability(table, context);
     const checkApplied = makeAnswerCheck(options.onUpToDate ?? (() => undefined));
 
-    const noteOutcome = (outcome: StoreOutcome<unknown>): void => {
-        const nowMs = timer.nowMs();
-        if (outcome.kind === "done" || outcome.kind === "historyLost") {
-            failures = 0;
-            answeredAtMs = nowMs;
-            if (unavailableSinceMs !== undefined) {
-                log.info("storeRegained", { table, awayMs: Math.round(nowMs - unavailableSinceMs) });
-                returnedAtMs = nowMs;
-                unavailableSinceMs = undefined;
-            }
-            return;
-        }
-        failures++;
-        if (unavailableSinceMs === undefined) {
-            unavailableSinceMs = nowMs;
-            log.warn("storeLost", { table, outcome: outcome.kind, reason: reasonOf(outcome) });
+    /** Returns whether the answer to a full read was applied, which one older than what was read meanwhile is not. */
+    const applyRead = (outcome: StoreOutcome<readonly StoredRow[]>): boolean => {
+        if (outcome.kind !== "done" || outcome.stamp.storeRevision < (after ?? 0)) {
+            return false;
         }
+        after = outcome.stamp.storeRevision;
+        reader.onSnapshot(outcome.value, after);
+        checkApplied(outcome.stamp);
+        return true;
     };
-    const readAll = async (): Promise<void> => {
-        const outcome = await ports.store.read(table);
-        noteOutcome(outcome);
-        if (outcome.kind === "done") {
-            after = outcome.stamp.storeRevision;
-            reader.onSnapshot(outcome.value, after);
-            checkApplied(outcome.stamp);
-        }
+    const readAll = async (): Promise<boolean> => {
+        const outcome = await ports.store.read(table, availability.noteProgress);
+        availability.noteOutcome(outcome);
+        return applyRead(outcome);
     };
     const follow = async (from: number): Promise<void> => {
         // A long poll would delay the notice that the store is available, after an outage or a suspension.
-        const waitMs = answeredAtMs > -Infinity && failures === 0 ? options.maxWaitMs() : 0;
-        const outcome = await ports.store.follow(table, from, waitMs);
-        noteOutcome(outcome);
+        const waitMs = availability.isAnswered() ? options.maxWaitMs() : 0;
+        const outcome = await ports.store.follow(table, from, waitMs, availability.noteProgress);
+        availability.noteOutcome(outcome);
         if (outcome.kind === "done") {
             after = Math.max(from, after ?? from, outcome.stamp.storeRevision);
             reader.onChanges(outcome.value, after);
@@ -123,11 +116,8 @@
             after = undefined;
         }
     };
-    const confirmAnyway = async (): Promise<boolean> => {
-        if (after === undefined) {
-            return false;
-        }
-        const outcome = await ports.store.follow(table, after, 0);
+    const confirmByChanges = async (from: number): Promise<StoreOutcome<RowChanges>["kind"]> => {
+        const outcome = await ports.store.follow(table, from, 0);
         if (outcome.kind === "done") {
             const asOf = Math.max(after ?? 0, outcome.stamp.storeRevision);
             // If the watch has lost its history meanwhile, it must still read the whole table.
@@ -135,10 +125,22 @@
             reader.onChanges(outcome.value, asOf);
             checkApplied(outcome.stamp);
         }
-        return outcome.kind === "done";
+        if (outcome.kind === "historyLost") {
+            log.warn("historyLost", { table, after: from });
+            after = after === from ? undefined : after;
+        }
+        return outcome.kind;
+    };
+    const confirmAnyway = async (): Promise<boolean> => {
+        const kind = after === undefined ? "historyLost" : await confirmByChanges(after);
+        return kind === "historyLost"
+            ? await (ownRead ?? ports.store.read(table).then(applyRead))
+            : kind === "done";
     };
     const pauseMs = (beganAtMs: number): number =>
-        failures > 0 ? backoffMs(failures, random()) : options.minPollMs() - (timer.nowMs() - beganAtMs);
+        availability.failures() > 0
+            ? backoffMs(availability.failures(), random())
+            : options.minPollMs() - (timer.nowMs() - beganAtMs);
     const run = async (): Promise<void> => {
         while (running) {
             if (!active) {
@@ -146,7 +148,13 @@
                 continue;
             }
             const beganAtMs = timer.nowMs();
-            await (after === undefined ? readAll() : follow(Math.max(after, options.knownRevision())));
+            if (after === undefined) {
+                ownRead = readAll().finally(() => ownRead = undefined);
+                await ownRead;
+            }
+            else {
+                await follow(Math.max(after, options.knownRevision()));
+            }
             const pause = pauseMs(beganAtMs);
             if (pause > 0) {
                 await sleep(timer, pause);
@@ -161,7 +169,7 @@
         },
         setActive: next => {
             if (next && !active) {
-                answeredAtMs = -Infinity;
+                availability.forgetAnswer();
                 active = true;
                 resume();
             }
@@ -170,10 +178,10 @@
         confirm: async () => active && await confirmAnyway(),
         confirmAnyway,
         isActive: () => active,
-        isUnavailable: () => active && unavailableSinceMs !== undefined,
-        isCurrent: () => active && answeredAtMs > -Infinity && failures === 0,
-        answerAgeMs: () => timer.nowMs() - answeredAtMs,
-        returnedAtMs: () => returnedAtMs,
+        isUnavailable: () => active && availability.isUnavailable(),
+        isCurrent: () => active && availability.isAnswered(),
+        answerAgeMs: availability.answerAgeMs,
+        returnedAtMs: availability.returnedAtMs,
     };
 }
 
@@ -189,7 +197,3 @@
     const factor = minBackoffFactor + (maxBackoffFactor - minBackoffFactor) * random;
     return Math.min(maxBackoffMs, initialBackoffMs * 2 ** (failures - 1)) * factor;
 }
-
-function reasonOf(outcome: StoreOutcome<unknown>): string | undefined {
-    return outcome.kind === "refused" || outcome.kind === "unanswered" ? outcome.reason : undefined;
-}
