Request a configuration that can't be read seldom

A process that can't read the relays' configuration requested it with each notice, from both relays: 60 copies in 9 s over links that carry requests.

Cause: nothing remembered that the announced version had been received. The store is still read for it as before. An answer to a request that left a version out does not confirm the older configuration in force.

--- /dev/null
+++ b/packages/gateway/src/peers/announcedState.ts
@@ -0,0 +1,32 @@
+/** Compares the state that relays announce with the local one. */
+import { type StateNotice } from "@rattanquay/schema";
+import { type ClusterState } from "../clusterState";
+import { type UnreadableVersion } from "./unreadableVersion";
+
+export type AnnouncedState = {
+    readonly note: (notice: StateNotice) => void;
+    /** The version of the configuration that a process has announced last, if any. */
+    readonly versionOf: (instance: string) => number | undefined;
+    readonly lacksEvacuation: (notice: StateNotice) => boolean;
+    readonly isBehind: (notice: StateNotice) => boolean;
+    /** Whether a request to a relay would bring what is missing; a version that can't be read is left to the store. */
+    readonly isWorthRequesting: (notice: StateNotice) => boolean;
+};
+
+export function makeAnnouncedState(clusterState: ClusterState, unreadable: UnreadableVersion): AnnouncedState {
+    const versions = new Map<string, number>();
+    const ownVersion = (): number => clusterState.routes()?.version ?? 0;
+    const lacksEvacuation = ({ newestEvacuation }: StateNotice): boolean =>
+        newestEvacuation > (clusterState.evacuations.newest() ?? 0);
+    const isBehindVersion = (notice: StateNotice, version: number): boolean =>
+        notice.configVersion > version || notice.newestChange > clusterState.asOf() || lacksEvacuation(notice);
+    return {
+        note: ({ instance, configVersion }) => {
+            versions.set(instance, configVersion);
+        },
+        versionOf: instance => versions.get(instance),
+        lacksEvacuation,
+        isBehind: notice => isBehindVersion(notice, ownVersion()),
+        isWorthRequesting: notice => isBehindVersion(notice, Math.max(ownVersion(), unreadable.current())),
+    };
+}
--- a/packages/gateway/src/peers/stateAnswers.ts
+++ b/packages/gateway/src/peers/stateAnswers.ts
@@ -70,14 +70,14 @@
 
 /**
  * Applies an answer to a request that was sent at `askedAtMs`. A record that names no usable upstream counts as removed: a peer
- * of another version may keep one.
+ * of another version may keep one. Returns whether the answer holds a configuration that can't be read.
  */
 export function applyStateAnswer(
     answer: StateAnswer,
     clusterState: ClusterState,
     faults: RowFaults,
     askedAtMs: number,
-): void {
+): boolean {
     const records: StateAnswer["records"] = [];
     const removals = [...answer.removals];
     for (const { value, revision } of answer.records) {
@@ -98,14 +98,16 @@
         clusterState.applyConfiguration(config, "peer");
     }
     // Unless its configuration can't be used, the peer's version is not newer than the one in force here now.
-    if (answer.configAgeMs !== undefined && (config !== undefined || answer.packedConfig === undefined)) {
+    const isUnreadable = config === undefined && answer.packedConfig !== undefined;
+    if (answer.configAgeMs !== undefined && !isUnreadable) {
         clusterState.configurationAge.notePeerAnswer(askedAtMs - answer.configAgeMs);
     }
     if (answer.isWhole) {
         clusterState.applySnapshot(records, answer.asOf, "peer");
-        return;
+        return isUnreadable;
     }
     clusterState.applyRecords(records, "peer");
     clusterState.applyRemovals(removals, "peer");
     clusterState.advanceAsOf(answer.asOf);
+    return isUnreadable;
 }
--- a/packages/gateway/src/peers/stateFollower.ts
+++ b/packages/gateway/src/peers/stateFollower.ts
@@ -9,9 +9,11 @@
 import { anyTrue } from "../anyTrue";
 import { type ClusterStateWatch } from "../clusterState";
 import { type GatewayContext } from "../gatewayContext";
+import { makeAnnouncedState } from "./announcedState";
 import { type Links } from "./links";
 import { type InstanceSource, type PeerDirectory } from "./peerDirectory";
 import { makeConfirmationRequester, makeStateRequester, stateRequestTimeoutMs } from "./stateRequester";
+import { makeUnreadableVersion } from "./unreadableVersion";
 
 export type StateFollower = {
     readonly receiveNotice: (notice: StateNotice) => void;
@@ -83,11 +85,9 @@
             links.tell([address], { kind: "subscribe", sentAtMs: timer.nowMs() });
         }
     };
-    const lacksEvacuation = ({ newestEvacuation }: StateNotice): boolean =>
-        newestEvacuation > (clusterState.evacuations.newest() ?? 0);
-    const isBehind = (notice: StateNotice): boolean =>
-        notice.configVersion > (clusterState.routes()?.version ?? 0) || notice.newestChange > clusterState.asOf()
-        || lacksEvacuation(notice);
+    const unreadable = makeUnreadableVersion(timer);
+    const announcedState = makeAnnouncedState(clusterState, unreadable);
+    const { isBehind, isWorthRequesting, lacksEvacuation, versionOf } = announcedState;
     const announced = makeAnnouncedLag(isBehind);
     const step = (): void => {
         const nowMs = timer.nowMs();
@@ -108,7 +108,7 @@
             watch.setActive(mustRead);
         }
     };
-    const requestState = makeStateRequester(options.context, clusterState, links, addressOf);
+    const requestState = makeStateRequester(options.context, clusterState, links, addressOf, unreadable, versionOf);
     const requestConfirmation = makeConfirmationRequester(requestState, clusterState, timer);
     const requestFrom = async (instance: string): Promise<void> => {
         if (requesting.has(instance)) {
@@ -129,17 +129,21 @@
     return {
         receiveNotice: notice => {
             source.noteNotice(notice, timer.nowMs());
+            announcedState.note(notice);
             clusterState.configurationAge.noteNotice(notice, confirmationTime(notice, clocks, timer.nowMs()));
             if (!isBehind(notice)) {
                 return;
             }
             announced.note(notice, timer.nowMs());
+            if (!isWorthRequesting(notice)) {
+                return;
+            }
             if (notice.instance === relays[0]) {
                 void requestFrom(notice.instance);
                 return;
             }
             timer.after(otherRelayDelayMs, () => {
-                if (isBehind(notice) && !isStateArriving()) {
+                if (isWorthRequesting(notice) && !isStateArriving()) {
                     void requestFrom(notice.instance);
                 }
             });
--- a/packages/gateway/src/peers/stateRequester.ts
+++ b/packages/gateway/src/peers/stateRequester.ts
@@ -6,6 +6,7 @@
 import { makeRowFaults } from "../rowFaults";
 import { type Links } from "./links";
 import { applyStateAnswer, makeStateRequest } from "./stateAnswers";
+import { type UnreadableVersion } from "./unreadableVersion";
 
 /** Resolves to whether the process answered; `mustConfirm` has it confirm its configuration before. */
 export type StateRequester = (instance: string, mustConfirm?: boolean) => Promise<boolean>;
@@ -14,26 +15,39 @@
 /** A large configuration takes seconds over the slowest links, which carry other answers at the same time. */
 export const longestStateAnswerMs = 6_000;
 
+/** `announcedVersion` returns the version of the configuration that a process has announced last, if any. */
 export function makeStateRequester(
     context: GatewayContext,
     clusterState: ClusterState,
     links: Links,
     addressOf: (instance: string) => string | undefined,
+    unreadable: UnreadableVersion,
+    announcedVersion: (instance: string) => number | undefined,
 ): StateRequester {
     const faults = makeRowFaults(context);
+    const ownVersion = (): number => clusterState.routes()?.version ?? 0;
     return async (instance, mustConfirm) => {
         const address = addressOf(instance);
         const askedAtMs = context.timer.nowMs();
+        const announced = announcedVersion(instance);
+        const configVersion = Math.max(ownVersion(), unreadable.current());
+        const request = { ...makeStateRequest(clusterState, mustConfirm), configVersion };
         const answer = address === undefined
             ? undefined
-            : await links.ask(address, makeStateRequest(clusterState, mustConfirm), {
+            : await links.ask(address, request, {
                 timeoutMs: stateRequestTimeoutMs,
                 longestMs: longestStateAnswerMs,
             });
         if (answer?.kind !== "clusterState") {
             return false;
         }
-        applyStateAnswer(answer, clusterState, faults, askedAtMs);
+        // An answer without a version that was left out of the request does not confirm the older one in force.
+        const isNewestLeftOut = configVersion > ownVersion();
+        const configAgeMs = isNewestLeftOut ? undefined : answer.configAgeMs;
+        const isUnreadable = applyStateAnswer({ ...answer, configAgeMs }, clusterState, faults, askedAtMs);
+        if (isUnreadable && announced !== undefined) {
+            unreadable.note(announced);
+        }
         return true;
     };
 }
