Ask neither relays nor the store for a confirmation while the state is arriving

A follower that is being sent the state now says so, and requests wait for it, 400 ms at most, as before.

--- a/packages/gateway/src/clusterState/__tests__/configurationCheck.test.ts
+++ b/packages/gateway/src/clusterState/__tests__/configurationCheck.test.ts
@@ -29,7 +29,7 @@
     const sources: ConfigurationSources = {
         readsStore: () => readsStore,
         askStore: answer("store", store),
-        askRelays: answer("relays", relays),
+        askRelays: async () => await answer("relays", relays)() ? "confirmed" : "unconfirmed",
     };
     const configurationEvidence = () => ({
         version: 7,
--- a/packages/gateway/src/clusterState/configurationCheck.ts
+++ b/packages/gateway/src/clusterState/configurationCheck.ts
@@ -5,7 +5,7 @@
  * costs the store no more than that.
  */
 import { maxConfirmationAgeMs, mayRefuseFinally } from "@rattanquay/core";
-import { type Timer } from "@rattanquay/timer";
+import { sleep, type Timer } from "@rattanquay/timer";
 import { type ClusterState } from "./clusterState";
 
 export type ConfigurationCheck = {
@@ -17,12 +17,15 @@
     readonly confirmWithStore: () => Promise<void>;
 };
 
+/** What came of asking the relays; `arriving`: nothing was asked, as one of them is sending what is missing here. */
+export type RelayConfirmation = "confirmed" | "unconfirmed" | "arriving";
+
 export type ConfigurationSources = {
     /** Whether this process follows the store itself. */
     readonly readsStore: () => boolean;
     readonly askStore: () => Promise<unknown>;
     /** Asks the relays of the zone. */
-    readonly askRelays: () => Promise<unknown>;
+    readonly askRelays: () => Promise<RelayConfirmation | undefined>;
 };
 
 /** A request that is refused with 503 is soon repeated elsewhere, so it doesn't wait long for a source that is slow. */
@@ -34,6 +37,8 @@
 /** No shorter than a confirmation counts, so that answered questions are no more frequent either. */
 const askStoreEveryMs = maxConfirmationAgeMs;
 const askRelaysEveryMs = 250;
+/** How often it is looked whether a configuration that was arriving has come. */
+const arrivalCheckMs = 25;
 
 export function makeConfigurationCheck(
     clusterState: Pick<ClusterState, "configurationEvidence">,
@@ -49,41 +54,52 @@
             await within(maxWaitMs, askStore(), timer);
         }
     };
+    const untilConfirmed = async (): Promise<void> => {
+        const endMs = timer.nowMs() + maxWaitMs;
+        while (!isConfirmed() && timer.nowMs() < endMs) {
+            await sleep(timer, arrivalCheckMs);
+        }
+    };
+    const awaitArrival = shareQuestion(untilConfirmed, 0, timer);
     const confirmByAll = async (): Promise<void> => {
-        if (!sources.readsStore()) {
-            await within(relaysMs, askRelays(), timer);
+        const relays = sources.readsStore() ? undefined : await within(relaysMs, askRelays(), timer);
+        if (relays === "arriving") {
+            // The store would send the same over the same link.
+            await awaitArrival();
         }
-        if (!isConfirmed()) {
+        else if (!isConfirmed()) {
             await askStore();
         }
     };
     return {
         isConfirmed,
-        confirm: () => within(maxWaitMs, confirmByAll(), timer),
+        confirm: async () => void await within(maxWaitMs, confirmByAll(), timer),
         confirmWithStore,
     };
 }
 
-/** Returns a function that joins the question under way, or asks anew unless the last one began too short a time ago. */
-function shareQuestion(ask: () => Promise<unknown>, everyMs: number, timer: Timer): () => Promise<unknown> {
+/** Returns a function that asks anew only if the last question is over and began long enough ago; else it has that one's answer. */
+function shareQuestion<T>(ask: () => Promise<T>, everyMs: number, timer: Timer): () => Promise<T> {
     let beganAtMs = -Infinity;
-    let underWay: Promise<unknown> | undefined;
+    let isUnderWay = false;
+    let last: Promise<T> | undefined;
     return () => {
-        if (underWay === undefined && timer.nowMs() - beganAtMs >= everyMs) {
+        if (last === undefined || (!isUnderWay && timer.nowMs() - beganAtMs >= everyMs)) {
             beganAtMs = timer.nowMs();
-            underWay = ask().finally(() => underWay = undefined);
+            isUnderWay = true;
+            last = ask().finally(() => isUnderWay = false);
         }
-        return underWay ?? Promise.resolve();
+        return last;
     };
 }
 
-/** Resolves with the promise, or after a time if that is sooner. */
-function within(ms: number, promise: Promise<unknown>, timer: Timer): Promise<void> {
+/** Resolves with the promise, or to undefined after a time if that is sooner. */
+function within<T>(ms: number, promise: Promise<T>, timer: Timer): Promise<T | undefined> {
     return new Promise(resolve => {
-        const cancel = timer.after(ms, resolve);
-        void promise.then(() => {
+        const cancel = timer.after(ms, () => resolve(undefined));
+        void promise.then(value => {
             cancel();
-            resolve();
+            resolve(value);
         });
     });
 }
--- a/packages/gateway/src/clusterState/index.ts
+++ b/packages/gateway/src/clusterState/index.ts
@@ -1,7 +1,7 @@
 /** The local view of the cluster state, kept up to date from the store. */
 export { type ClusterState, makeClusterState, type RemovedId, type Revisioned } from "./clusterState";
 export { type ConfigurationEvidence, confirmedAgeMs, makeConfigurationAge } from "./configurationAge";
-export { type ConfigurationCheck, makeConfigurationCheck } from "./configurationCheck";
+export { type ConfigurationCheck, makeConfigurationCheck, type RelayConfirmation } from "./configurationCheck";
 export { type Evacuations } from "./evacuations";
 export { isEvacuationKnown } from "./isEvacuationKnown";
 export { type Origin } from "./origin";
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -13,7 +13,7 @@
     type ProbeReport,
     type UpstreamRecord,
 } from "@rattanquay/schema";
-import { type ClusterStateWatch } from "../clusterState";
+import { type ClusterStateWatch, type RelayConfirmation } from "../clusterState";
 import { type ColdGrants } from "../cold";
 import { type GatewayContext } from "../gatewayContext";
 import { type Quarantine } from "../quarantine";
@@ -66,8 +66,8 @@
     readonly isFirstOfZone: () => boolean;
     /** Requests the cluster state from the relays at once. Resolves to whether one has answered. */
     readonly confirmState: () => Promise<boolean>;
-    /** Has the relays confirm the configuration with the store. Resolves to whether one has answered. */
-    readonly confirmConfiguration: () => Promise<boolean>;
+    /** Has the relays confirm the configuration with the store, unless one of them is sending the state already. */
+    readonly confirmConfiguration: () => Promise<RelayConfirmation>;
     readonly passOrder: (upstream: UpstreamRecord, order: EngineOrder) => Promise<PassedOrder>;
     /** Removes this process from the directory, so that peers no longer send requests to it. */
     readonly leave: () => Promise<void>;
--- a/packages/gateway/src/peers/stateFollower.ts
+++ b/packages/gateway/src/peers/stateFollower.ts
@@ -6,9 +6,11 @@
  */
 import { makePeerClocks, makeStateSource, type PeerClocks } from "@rattanquay/core";
 import { type GatewayInstance, type StateNotice, type SubscriptionAnswer } from "@rattanquay/schema";
+import { type Timer } from "@rattanquay/timer";
 import { anyTrue } from "../anyTrue";
-import { type ClusterStateWatch } from "../clusterState";
+import { type ClusterStateWatch, type RelayConfirmation } from "../clusterState";
 import { type GatewayContext } from "../gatewayContext";
+import { makeAnnouncedLag } from "./announcedLag";
 import { makeAnnouncedState } from "./announcedState";
 import { type Links } from "./links";
 import { type InstanceSource, type PeerDirectory } from "./peerDirectory";
@@ -22,10 +24,10 @@
     /** Requests the state from both relays at once. Resolves to whether one has answered. */
     readonly confirm: () => Promise<boolean>;
     /**
-     * The same, and has the relays confirm the configuration with the store. Resolves to whether it is confirmed here, at the
-     * latest when no relay has answered in time.
+     * The same, and has the relays confirm the configuration with the store, unless one of them is sending the state already.
+     * Resolves at the latest when no relay has answered in time.
      */
-    readonly confirmConfiguration: () => Promise<boolean>;
+    readonly confirmConfiguration: () => Promise<RelayConfirmation>;
     /** Requests the list of processes from a relay; undefined if there is none or it does not know. */
     readonly requestInstances: InstanceSource;
     /** Whether this process is a relay of its zone. */
@@ -58,7 +60,6 @@
     const { clusterState } = watch;
     const source = makeStateSource(settings.instance);
     const clocks = makePeerClocks();
-    const subscribedAtMs = new Map<string, number>();
     const requesting = new Set<string>();
     let knownPeers: readonly GatewayInstance[] | undefined;
     let relays: readonly string[] = [];
@@ -80,13 +81,7 @@
         const own = { instance: settings.instance, cores: settings.cores };
         source.setCandidates([own, ...sameZone.map(({ instance, cores = 1 }) => ({ instance, cores }))]);
     };
-    const subscribe = (instance: string): void => {
-        const address = addressOf(instance);
-        if (address !== undefined && timer.nowMs() - (subscribedAtMs.get(instance) ?? -Infinity) >= subscribeEveryMs) {
-            subscribedAtMs.set(instance, timer.nowMs());
-            links.tell([address], { kind: "subscribe", sentAtMs: timer.nowMs() });
-        }
-    };
+    const subscribe = makeSubscriber(links, addressOf, timer);
     const unreadable = makeUnreadableVersion(timer);
     const announcedState = makeAnnouncedState(clusterState, unreadable);
     const { isBehind, isWorthRequesting, lacksEvacuation, versionOf } = announcedState;
@@ -153,8 +148,14 @@
         },
         receiveSubscriptionAnswer: ({ instance, clockMs, sentAtMs }) => clocks.noteReading(instance, clockMs, sentAtMs),
         confirm: () => anyTrue(relays.map(instance => requestState(instance))),
-        // A relay that is sending the state already isn't asked for it once more: a large configuration fills its link.
-        confirmConfiguration: () => anyTrue(relays.filter(relay => !requesting.has(relay)).map(requestConfirmation)),
+        confirmConfiguration: async () => {
+            // A large configuration fills the link.
+            if (isStateArriving()) {
+                return "arriving";
+            }
+            const asked = relays.filter(relay => !requesting.has(relay));
+            return await anyTrue(asked.map(requestConfirmation)) ? "confirmed" : "unconfirmed";
+        },
         requestInstances: () => requestInstances(relays[0] === undefined ? undefined : addressOf(relays[0]), links),
         isRelay: source.isRelay,
         isFirst: source.isFirst,
@@ -163,6 +164,23 @@
     };
 }
 
+/** Returns a function that renews the subscription at a relay when it is due. */
+function makeSubscriber(
+    links: Links,
+    addressOf: (instance: string) => string | undefined,
+    timer: Timer,
+): (instance: string) => void {
+    const subscribedAtMs = new Map<string, number>();
+    return instance => {
+        const address = addressOf(instance);
+        const nowMs = timer.nowMs();
+        if (address !== undefined && nowMs - (subscribedAtMs.get(instance) ?? -Infinity) >= subscribeEveryMs) {
+            subscribedAtMs.set(instance, nowMs);
+            links.tell([address], { kind: "subscribe", sentAtMs: nowMs });
+        }
+    };
+}
+
 async function requestInstances(
     address: string | undefined,
     links: Links,
@@ -173,28 +191,6 @@
     return answer?.kind === "instances" && answer.instances.length > 0 ? answer.instances : undefined;
 }
 
-/** What relays have announced and this process does not know yet. */
-type AnnouncedLag = {
-    readonly note: (notice: StateNotice, nowMs: number) => void;
-    /** The newest announcement of something that was missing. */
-    readonly newest: () => StateNotice | undefined;
-    /** Whether something announced has been missing for longer than `lagMs`. */
-    readonly isLagging: (nowMs: number, lagMs: number) => boolean;
-};
-
-function makeAnnouncedLag(isBehind: (notice: StateNotice) => boolean): AnnouncedLag {
-    let missing: { readonly notice: StateNotice; readonly sinceMs: number } | undefined;
-    return {
-        note: (notice, nowMs) => {
-            const wasMissing = missing !== undefined && isBehind(missing.notice);
-            missing = { notice, sinceMs: wasMissing ? missing!.sinceMs : nowMs };
-        },
-        newest: () => missing?.notice,
-        isLagging: (nowMs, lagMs) =>
-            missing !== undefined && isBehind(missing.notice) && nowMs - missing.sinceMs > lagMs,
-    };
-}
-
 /** The earliest local time for which a relay's notice can state that its configuration was the newest, if it does. */
 function confirmationTime(
     { instance, configConfirmedAtMs }: StateNotice,
