Split the exchange at its conditions of a send, and drop the clocks and versions of processes that are gone

The clocks of relays and the versions that they announce were kept for each process that was ever heard, without a bound. Tests of the gateway's exchange and peers and of the state source pass.

--- a/packages/core/src/stateSource/peerClocks.ts
+++ b/packages/core/src/stateSource/peerClocks.ts
@@ -14,6 +14,7 @@
 
 /** Bounds by how much two clocks drift apart. */
 const maxReadingAgeMs = 30_000;
+const forgetAfterMs = 2 * maxReadingAgeMs;
 
 type Reading = { readonly offsetMs: number; readonly peerMs: number; readonly sentAtMs: number };
 
@@ -29,10 +30,11 @@
             if (isOutdated || next.offsetMs >= known.offsetMs) {
                 readings.set(instance, next);
             }
+            dropOutdated(readings, sentAtMs);
         },
         toLocalMs: (instance, peerMs, nowMs) => {
             const known = readings.get(instance);
-            if (known === undefined || nowMs - known.sentAtMs > 2 * maxReadingAgeMs) {
+            if (known === undefined || nowMs - known.sentAtMs > forgetAfterMs) {
                 return undefined;
             }
             const localMs = known.offsetMs + peerMs;
@@ -40,3 +42,12 @@
         },
     };
 }
+
+/** Clocks of peers that are gone are not kept: each restart of a machine may bring another name. */
+function dropOutdated(readings: Map<string, Reading>, nowMs: number): void {
+    for (const [instance, { sentAtMs }] of readings) {
+        if (nowMs - sentAtMs > forgetAfterMs) {
+            readings.delete(instance);
+        }
+    }
+}
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -7,11 +7,9 @@
 import {
     type AttemptCounts,
     type AttemptFailure,
-    consumesRetryBudget,
     countAttempt,
     endingOfAttempts,
     mayRetryRequest,
-    mayTakeIn,
     noAttemptsYet,
 } from "@rattanquay/core";
 import { type Ending } from "@rattanquay/schema";
@@ -21,13 +19,14 @@
 import { logFailedAttempt, logSendError, segmentsForLog } from "./attemptLog";
 import { type AttemptRun, type AttemptRunStart, runAttempt } from "./attemptRun";
 import { type ExchangeDependencies } from "./exchangeDependencies";
-import { exclusionOf } from "./exclusion";
+import { refusalWithoutPlacement } from "./exclusion";
 import { type AnswerSource } from "./finalRefusal";
 import { type BufferedAnswer } from "./framedResponse";
-import { noteServed, refusalDelayMs, retryAfterMs, spreadRetryMs } from "./loadShedding";
-import { candidatesOf, choosePlacement, hasColdCandidate, pauseLeftMs, type Placement } from "./placement";
+import { noteServed, refusalDelayMs, retryAfterMs } from "./loadShedding";
+import { candidatesOf, choosePlacement, type Placement } from "./placement";
 import { type Refusal, refusals, refuse } from "./refusals";
 import { type AttemptResult, type Relay, relays } from "./relays";
+import { hasTimeInThisProcess, spendRetryBudget } from "./sendConditions";
 
 /** How a request ended, for the log and the metrics. */
 export type ExchangeOutcome = {
@@ -210,7 +209,8 @@
         const usesCold = this.grantQuestions < maxGrantQuestions;
         const placement = choosePlacement(admitted, this.excludedUpstreams, dependencies, usesCold);
         if (placement === undefined) {
-            this.endWithoutPlacement();
+            const { refusal, retryDelayMs } = refusalWithoutPlacement(admitted, dependencies);
+            this.endWithoutSuccess(refusal, retryDelayMs);
             return;
         }
         const hasBegun = sends.mayHaveRun > 0 || relay.lastEventId() !== undefined;
@@ -219,7 +219,7 @@
             this.endWithoutSuccess("overloaded", refusalMs);
             return;
         }
-        if (sends.last === undefined && !this.hasTimeInThisProcess(placement)) {
+        if (sends.last === undefined && !hasTimeInThisProcess(admitted, placement, dependencies)) {
             this.refuseWith("stopping", 0);
             return;
         }
@@ -230,17 +230,6 @@
         this.trySend(placement, undefined);
     }
 
-    private endWithoutPlacement(): void {
-        const { admitted, dependencies } = this;
-        const pauseMs = pauseLeftMs(admitted, dependencies);
-        if (pauseMs !== undefined) {
-            this.endWithoutSuccess("paused", spreadRetryMs(pauseMs, dependencies));
-            return;
-        }
-        const isColdLimited = hasColdCandidate(admitted, dependencies);
-        this.endWithoutSuccess(isColdLimited ? "coldLimited" : exclusionOf(admitted, dependencies) ?? "noUpstream");
-    }
-
     /** Sends with the grant for a cold upstream, or places the request elsewhere. The request can end meanwhile. */
     private askGrant(placement: Placement): void {
         const { admitted, dependencies } = this;
@@ -293,14 +282,6 @@
         this.handleResult({ kind: "short", failure, reason: "unexpected error" }, placement, undefined, source);
     }
 
-    private hasTimeInThisProcess({ predictedEndMs }: Placement): boolean {
-        const { admitted, dependencies: { lifetime, context: { timer } } } = this;
-        const stop = lifetime.stop();
-        const nowMs = timer.nowMs();
-        const expectedEndMs = predictedEndMs === undefined ? undefined : nowMs + predictedEndMs;
-        return stop === undefined || mayTakeIn({ endByMs: admitted.endByMs, expectedEndMs }, stop, nowMs);
-    }
-
     private send(placement: Placement, grant: ColdGrant | undefined): AttemptRunStart {
         const { admitted, dependencies, relay } = this;
         return runAttempt({
@@ -360,24 +341,10 @@
         logFailedAttempt({ admitted, placement, result, failure, answeringMs, lastEventId }, dependencies);
         const canRetry = this.canRetryAfter(failure) && this.timeLeftMs() >= minAttemptMs;
         this.sends = countAttempt(this.sends, failure);
-        if (canRetry && this.isWithinRetryBudget()) {
+        if (canRetry && spendRetryBudget(admitted, this.sends, dependencies)) {
             this.sendNext();
             return;
         }
         this.endWithoutSuccess("notRun");
     }
-
-    /** Whether the retry budget allows another attempt; attempts that are not retries are always allowed. */
-    private isWithinRetryBudget(): boolean {
-        const { dependencies, sends, admitted } = this;
-        const { timer, log } = dependencies.context;
-        if (!consumesRetryBudget(sends) || dependencies.budget.trySpend(timer.nowMs(), dependencies.instances())) {
-            return true;
-        }
-        log.info("repeatRefused", {
-            requestId: admitted.caller.requestId,
-            spent: dependencies.budget.spent(timer.nowMs()),
-        });
-        return false;
-    }
 }
--- a/packages/gateway/src/exchange/exclusion.ts
+++ b/packages/gateway/src/exchange/exclusion.ts
@@ -1,7 +1,8 @@
-/** Why none of the upstreams that serve a request's service and model may get the request. */
+/** Why a request gets no upstream: none serves it, all pause or are cold, or those that serve it may not get it. */
 import { type AdmittedRequest } from "./admittedRequest";
 import { type ExchangeDependencies } from "./exchangeDependencies";
-import { candidatesOf, upstreamsInAnyZone, withinAllowedRegions } from "./placement";
+import { spreadRetryMs } from "./loadShedding";
+import { candidatesOf, hasColdCandidate, pauseLeftMs, upstreamsInAnyZone, withinAllowedRegions } from "./placement";
 import { type Refusal } from "./refusals";
 
 /** Returns undefined if some upstream may get it, or if no upstream serves it at all. */
@@ -18,3 +19,17 @@
     }
     return serving.length > 0 ? "noAllowedRegion" : undefined;
 }
+
+/** The refusal of a request for which no upstream was found. `retryDelayMs` is undefined where the usual delay fits. */
+export function refusalWithoutPlacement(
+    admitted: AdmittedRequest,
+    dependencies: ExchangeDependencies,
+): { readonly refusal: Refusal; readonly retryDelayMs?: number } {
+    const pauseMs = pauseLeftMs(admitted, dependencies);
+    if (pauseMs !== undefined) {
+        return { refusal: "paused", retryDelayMs: spreadRetryMs(pauseMs, dependencies) };
+    }
+    return hasColdCandidate(admitted, dependencies)
+        ? { refusal: "coldLimited" }
+        : { refusal: exclusionOf(admitted, dependencies) ?? "noUpstream" };
+}
--- a/packages/gateway/src/peers/announcedState.ts
+++ b/packages/gateway/src/peers/announcedState.ts
@@ -3,6 +3,9 @@
 import { type ClusterState } from "../clusterState";
 import { type UnreadableVersion } from "./unreadableVersion";
 
+/** More processes than announce their state here at a time; of those before, the longest silent are dropped. */
+const maxAnnouncing = 16;
+
 export type AnnouncedState = {
     readonly note: (notice: StateNotice) => void;
     /** The version of the configuration that a process has announced last, if any. */
@@ -22,7 +25,11 @@
         notice.configVersion > version || notice.newestChange > clusterState.asOf() || lacksEvacuation(notice);
     return {
         note: ({ instance, configVersion }) => {
+            versions.delete(instance);
             versions.set(instance, configVersion);
+            if (versions.size > maxAnnouncing) {
+                versions.delete(versions.keys().next().value!);
+            }
         },
         versionOf: instance => versions.get(instance),
         lacksEvacuation,
