Spread the times at which refused arrivals come back

Callers that were refused because no configuration is known or confirmed were all asked to come back after the same 500 ms, and came together. The delay is varied like the others now; the test failed before (one value for 8 callers) and passes.

--- a/packages/gateway/src/exchange/admit.ts
+++ b/packages/gateway/src/exchange/admit.ts
@@ -23,6 +23,7 @@
     isRecentlyConfirmed,
     type MeasuredBody,
 } from "./finalRefusal";
+import { spreadRetryMs } from "./loadShedding";
 import { type Refusal, refusals, refuse } from "./refusals";
 import { findTarget, type FoundTarget, type MeasuredHead, readBasis } from "./target";
 import { decideUnreadBody, maxBodyBytes } from "./unreadBody";
@@ -148,7 +149,8 @@
     decision: Decision,
 ): void {
     const { request, answer } = arrival;
-    refuse(answer, request, refusal, dependencies.context.ports.requestCodec, startRetryAfterMs);
+    const retryDelayMs = spreadRetryMs(startRetryAfterMs, dependencies);
+    refuse(answer, request, refusal, dependencies.context.ports.requestCodec, retryDelayMs);
     const { status, ending } = refusals[refusal];
     recordEnd(arrival, { ending, code: refusal, status }, dependencies, decision);
 }
