--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -93,10 +93,25 @@
     server.keepAliveTimeout = 60_000;
     await new Promise(resolve => server.listen(0, host, resolve));
     const encode = value => Buffer.from(JSON.stringify(value)).toString("base64");
+    /** The entry of a replica changes when more than `sequence` does. */
+    const entries = new Map();
+    const isSameEntry = (key, { sequence, ...entry }) => {
+        const text = JSON.stringify(entry);
+        const isSame = entries.get(key) === text;
+        entries.set(key, text);
+        return isSame;
+    };
     return {
         address: `${host}:${server.address().port}`,
-        put: (table, key, value) => write([{ table, key, value: encode(value) }], []),
-        remove: (table, key) => write([], [{ table, key }]),
+        put: (table, key, value) => {
+            if (table !== "servers" || !isSameEntry(key, value)) {
+                write([{ table, key, value: encode(value) }], []);
+            }
+        },
+        remove: (table, key) => {
+            entries.delete(key);
+            write([], [{ table, key }]);
+        },
         rows: table =>
             [...rows.values()].filter(row => row.table === table).map(({ key, value }) => ({
                 key,
