--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -21,35 +21,91 @@
 const onJoin = ({ id, before, name }) => {
     const head = replicas.get(before?.members[0]);
     const own = head?.group();
-    const isOpen = own?.name === before?.name && own?.epoch === before?.epoch && ["open", "closing"].includes(own?.state);
+    const isOpen = own?.name === before?.name && own?.epoch === before?.epoch
+        && ["open", "closing"].includes(own?.state);
     if (before !== undefined && before.name !== name && isOpen) {
         violations++;
-        record(`BROKEN: ${id} takes the join of ${name} while ${head.id}, the head of its group ${before.name}, is ${own.state}`);
+        record(
+            `BROKEN: ${id} takes the join of ${name} while ${head.id}, the head of its group ${before.name}, is ${own.state}`,
+        );
     }
 };
 for (let index = 0; index < replicaCount; index++) {
     const id = `i-review-${index}`;
-    replicas.set(id, await startGroupReplica({
-        id, service: "lm", zone: "zone-a", domain: "domain-a", host: `${net}.${10 + index}`, model, slots: 12,
-        formationMs: 300, store, record, onJoin,
-    }));
+    replicas.set(
+        id,
+        await startGroupReplica({
+            id,
+            service: "lm",
+            zone: "zone-a",
+            domain: "domain-a",
+            host: `${net}.${10 + index}`,
+            model,
+            slots: 12,
+            formationMs: 300,
+            store,
+            record,
+            onJoin,
+        }),
+    );
 }
 store.put("op", "config", {
     version: 3,
-    routes: [{ name: "r-chat", hostname: "lm.example", prefix: "/chat/", route_type: "streaming", timeout_ms: 6000,
-        target_latency_ms: 400, priority: 1, service: "lm", max_attempts: 2, public: true, session_affinity: true,
-        stream_resume: true, target_gap_ms: 300 }],
-    services: [{ name: "lm", health_path: "/healthz", max_connections: 574, protocol: "h1", tls: false, inference_engine: {
-        slots: 12, kv_capacity_tokens: 1312941, stride: 5, models: [{ name: model.name, size: model.size, share: 1, pace: 1,
-            load_time_s: model.loadMs / 1000, warmup_s: model.warmupMs / 1000 }],
-        step_ms: 7.8, per_seq_ms: 0.134, context_per_k: 0.0136, read_per_s: 45900, pairs_per_m: 0.433, chunk: 2048,
-        report_lag_ms: 200, loads_per_s: 5, loads_at_once: 7, usual: { prompt: 979, answer: 154 }, kept_model_count: 1,
-        far_x: 2.5, formation_ms: 300 } }],
+    routes: [{
+        name: "r-chat",
+        hostname: "lm.example",
+        prefix: "/chat/",
+        route_type: "streaming",
+        timeout_ms: 6000,
+        target_latency_ms: 400,
+        priority: 1,
+        service: "lm",
+        max_attempts: 2,
+        public: true,
+        session_affinity: true,
+        stream_resume: true,
+        target_gap_ms: 300,
+    }],
+    services: [{
+        name: "lm",
+        health_path: "/healthz",
+        max_connections: 574,
+        protocol: "h1",
+        tls: false,
+        inference_engine: {
+            slots: 12,
+            kv_capacity_tokens: 1312941,
+            stride: 5,
+            models: [{
+                name: model.name,
+                size: model.size,
+                share: 1,
+                pace: 1,
+                load_time_s: model.loadMs / 1000,
+                warmup_s: model.warmupMs / 1000,
+            }],
+            step_ms: 7.8,
+            per_seq_ms: 0.134,
+            context_per_k: 0.0136,
+            read_per_s: 45900,
+            pairs_per_m: 0.433,
+            chunk: 2048,
+            report_lag_ms: 200,
+            loads_per_s: 5,
+            loads_at_once: 7,
+            usual: { prompt: 979, answer: 154 },
+            kept_model_count: 1,
+            far_x: 2.5,
+            formation_ms: 300,
+        },
+    }],
     limits: { max_header_bytes: 16384, max_body_bytes: 4194304, header_timeout_ms: 3000, idle_timeout_ms: 15000 },
 });
 const names = [1, 2, 3, 4, 5].map(number => `edge-zone-a-${number}`);
 const system = await startEntries(names, {
-    storeAddress: store.address, zoneOf: () => "zone-a", hostOf: index => `${net}.${100 + index}`,
+    storeAddress: store.address,
+    zoneOf: () => "zone-a",
+    hostOf: index => `${net}.${100 + index}`,
 });
 const finish = async code => {
     await system.stop();
@@ -80,10 +136,22 @@
         tally[ending] = (tally[ending] ?? 0) + 1;
         record(`${id} ends: ${ending}`);
     };
-    const sent = request({ host, port, method: "POST", path: `/chat/${ids}`, agent: false, headers: {
-        Host: "lm.example", "Attempt-Id": id, Model: model.name, "Token-Usage": "200,40", "Prompt-Prefix": `a1:40,${id.slice(4)}:160`,
-        "Deadline-Ms": "6000", "Content-Length": "2",
-    } }, response => {
+    const sent = request({
+        host,
+        port,
+        method: "POST",
+        path: `/chat/${ids}`,
+        agent: false,
+        headers: {
+            Host: "lm.example",
+            "Attempt-Id": id,
+            Model: model.name,
+            "Token-Usage": "200,40",
+            "Prompt-Prefix": `a1:40,${id.slice(4)}:160`,
+            "Deadline-Ms": "6000",
+            "Content-Length": "2",
+        },
+    }, response => {
         response.resume();
         response.on("error", () => note("cut"));
         response.on("end", () => note(response.complete ? String(response.statusCode) : "cut"));
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -18,26 +18,59 @@
 const events = 35;
 const replicas = [];
 for (const index of [0, 1, 2]) {
-    replicas.push(await startStreamReplica({
-        id: `i-review-${index}`, service: "app", zone: "zone-a", host: `${net}.${10 + index}`, slots: 24, events, everyMs: 60,
-        bodyBytes: 1_400_000, store, record,
-    }));
+    replicas.push(
+        await startStreamReplica({
+            id: `i-review-${index}`,
+            service: "app",
+            zone: "zone-a",
+            host: `${net}.${10 + index}`,
+            slots: 24,
+            events,
+            everyMs: 60,
+            bodyBytes: 1_400_000,
+            store,
+            record,
+        }),
+    );
 }
 store.put("op", "config", {
     version: 3,
     routes: [
-        { name: "r-stream", hostname: "app.example", prefix: "/stream/", route_type: "streaming", timeout_ms: 6000,
-            target_latency_ms: 300, priority: 1, service: "app", max_attempts: 2, public: true, stream_resume: true,
-            target_gap_ms: 200 },
-        { name: "r-order", hostname: "app.example", prefix: "/order/", route_type: "non_idempotent", timeout_ms: 4000,
-            target_latency_ms: 3000, priority: 1, service: "app", max_attempts: 1, public: true },
+        {
+            name: "r-stream",
+            hostname: "app.example",
+            prefix: "/stream/",
+            route_type: "streaming",
+            timeout_ms: 6000,
+            target_latency_ms: 300,
+            priority: 1,
+            service: "app",
+            max_attempts: 2,
+            public: true,
+            stream_resume: true,
+            target_gap_ms: 200,
+        },
+        {
+            name: "r-order",
+            hostname: "app.example",
+            prefix: "/order/",
+            route_type: "non_idempotent",
+            timeout_ms: 4000,
+            target_latency_ms: 3000,
+            priority: 1,
+            service: "app",
+            max_attempts: 1,
+            public: true,
+        },
     ],
     services: [{ name: "app", health_path: "/healthz", max_connections: 574, protocol: "h1", tls: false }],
     limits: { max_header_bytes: 16384, max_body_bytes: 4194304, header_timeout_ms: 3000, idle_timeout_ms: 15000 },
 });
 const names = Array.from({ length: entryCount }, (unused, index) => `edge-zone-a-${index + 1}`);
 const system = await startEntries(names, {
-    storeAddress: store.address, zoneOf: () => "zone-a", hostOf: index => `${net}.${100 + index}`,
+    storeAddress: store.address,
+    zoneOf: () => "zone-a",
+    hostOf: index => `${net}.${100 + index}`,
 });
 const finish = async code => {
     await system.stop();
@@ -54,35 +87,53 @@
 const tally = {};
 let broken = 0;
 /** What an HTTP/1.1 client takes for a whole answer: without a length or chunks, one whose connection was closed, not reset. */
-const call = ({ listen: { frontend } }, kind) => new Promise(resolve => {
-    const [host, port] = frontend.split(":");
-    const id = `${kind}${(++ids).toString(16).padStart(8, "0")}`;
-    const end = (ending, status, seal, text) => {
-        const answer = replicas.map(replica => replica.sent.get(id)).find(found => found !== undefined);
-        const got = kind === "stream" ? (text.match(/^id: /gm) ?? []).length : text.length;
-        const all = kind === "stream" ? events : events * Math.ceil(1_400_000 / events);
-        const isInsideEvent = kind === "stream" && text !== "" && !text.endsWith("\n\n");
-        const looksWhole = ending === "ended" && status === 200 && seal !== undefined && !isInsideEvent;
-        const isWrong = looksWhole && got < all;
-        broken += isWrong ? 1 : 0;
-        const key = `${kind}: ${status ?? ""} ${isWrong ? "looks whole and is not" : looksWhole ? "whole" : ending}`;
-        tally[key] = (tally[key] ?? 0) + 1;
-        record(`${id} ${key}: ${got} of ${all}; the replica had sent ${answer?.sentParts} of ${events} parts`);
-        resolve();
-    };
-    const sent = request({ host, port, method: "POST", path: `/${kind}/${ids}`, agent: false, headers: {
-        Host: "app.example", "Attempt-Id": id, "Deadline-Ms": kind === "stream" ? "6000" : "4000", "Content-Length": "2",
-    } }, response => {
-        let text = "";
-        response.setEncoding("latin1");
-        response.on("data", chunk => text += chunk);
-        response.on("error", error => end(`cut (${error.code})`, response.statusCode, response.headers["response-seal"], text));
-        response.on("end", () =>
-            response.complete && end("ended", response.statusCode, response.headers["response-seal"], text));
+const call = ({ listen: { frontend } }, kind) =>
+    new Promise(resolve => {
+        const [host, port] = frontend.split(":");
+        const id = `${kind}${(++ids).toString(16).padStart(8, "0")}`;
+        const end = (ending, status, seal, text) => {
+            const answer = replicas.map(replica => replica.sent.get(id)).find(found => found !== undefined);
+            const got = kind === "stream" ? (text.match(/^id: /gm) ?? []).length : text.length;
+            const all = kind === "stream" ? events : events * Math.ceil(1_400_000 / events);
+            const isInsideEvent = kind === "stream" && text !== "" && !text.endsWith("\n\n");
+            const looksWhole = ending === "ended" && status === 200 && seal !== undefined && !isInsideEvent;
+            const isWrong = looksWhole && got < all;
+            broken += isWrong ? 1 : 0;
+            const key = `${kind}: ${status ?? ""} ${
+                isWrong ? "looks whole and is not" : looksWhole ? "whole" : ending
+            }`;
+            tally[key] = (tally[key] ?? 0) + 1;
+            record(`${id} ${key}: ${got} of ${all}; the replica had sent ${answer?.sentParts} of ${events} parts`);
+            resolve();
+        };
+        const sent = request({
+            host,
+            port,
+            method: "POST",
+            path: `/${kind}/${ids}`,
+            agent: false,
+            headers: {
+                Host: "app.example",
+                "Attempt-Id": id,
+                "Deadline-Ms": kind === "stream" ? "6000" : "4000",
+                "Content-Length": "2",
+            },
+        }, response => {
+            let text = "";
+            response.setEncoding("latin1");
+            response.on("data", chunk => text += chunk);
+            response.on(
+                "error",
+                error => end(`cut (${error.code})`, response.statusCode, response.headers["response-seal"], text),
+            );
+            response.on(
+                "end",
+                () => response.complete && end("ended", response.statusCode, response.headers["response-seal"], text),
+            );
+        });
+        sent.on("error", error => end(`closed (${error.code})`, undefined, undefined, ""));
+        sent.end("{}");
     });
-    sent.on("error", error => end(`closed (${error.code})`, undefined, undefined, ""));
-    sent.end("{}");
-});
 const calls = [];
 for (let round = 0; round < 60; round++) {
     const entry = system.entries[round % entryCount];
--- a/review/lib-2/groupReplica.mjs
+++ b/review/lib-2/groupReplica.mjs
@@ -5,7 +5,9 @@
 
 export const heartbeatMs = 1_200;
 
-export async function startGroupReplica({ id, service, zone, domain, host, model, slots, formationMs, store, record, onJoin }) {
+export async function startGroupReplica(
+    { id, service, zone, domain, host, model, slots, formationMs, store, record, onJoin },
+) {
     const born = Date.now();
     const { name: modelName, warmupMs, loadMs } = model;
     let group;
@@ -19,10 +21,22 @@
     const sockets = new Set();
     const held = [];
     const entry = () => ({
-        service, address, zone, version: "v1", slots, state: "ready", cold_remaining_ms: 0, phase: "mixed",
-        models: group === undefined ? [] : [{ name: group.model, version: 1, adapters: [] }], sequence: beats, born,
-        failure_domain: domain, staged,
-        ...group === undefined ? {} : { group: { name: group.name, epoch: group.epoch, rank: group.rank, state: group.state } },
+        service,
+        address,
+        zone,
+        version: "v1",
+        slots,
+        state: "ready",
+        cold_remaining_ms: 0,
+        phase: "mixed",
+        models: group === undefined ? [] : [{ name: group.model, version: 1, adapters: [] }],
+        sequence: beats,
+        born,
+        failure_domain: domain,
+        staged,
+        ...group === undefined
+            ? {}
+            : { group: { name: group.name, epoch: group.epoch, rank: group.rank, state: group.state } },
     });
     const report = () => {
         if (!isCut) {
@@ -118,7 +132,16 @@
             return;
         }
         if (request.url === "/rattanquay/report") {
-            answerJson(response, 200, { ...entry(), busy: false, sequence: orders, queued: 0, active: 0, pace: 1, kv_used: 0, kv_total: 1 });
+            answerJson(response, 200, {
+                ...entry(),
+                busy: false,
+                sequence: orders,
+                queued: 0,
+                active: 0,
+                pace: 1,
+                kv_used: 0,
+                kv_total: 1,
+            });
             return;
         }
         if (request.url === "/rattanquay/order") {
--- a/review/lib-2/plainReplica.mjs
+++ b/review/lib-2/plainReplica.mjs
@@ -42,8 +42,17 @@
     const address = `${host}:${server.address().port}`;
     const beat = () =>
         hasLeft || store.put("servers", id, {
-            service, address, zone, version: "v1", slots, state: "ready", cold_remaining_ms: 0, phase: "mixed", models: [],
-            sequence: ++sequence, born,
+            service,
+            address,
+            zone,
+            version: "v1",
+            slots,
+            state: "ready",
+            cold_remaining_ms: 0,
+            phase: "mixed",
+            models: [],
+            sequence: ++sequence,
+            born,
         });
     beat();
     const beats = setInterval(beat, 1_200);
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -32,10 +32,14 @@
     };
     const handlers = {
         "/rattanquay/rows-get": (query, response) => {
-            const [table, part, from, to] = ["table", "part", "from_revision", "target"].map(name => query.get(name) ?? "");
+            const [table, part, from, to] = ["table", "part", "from_revision", "target"].map(name =>
+                query.get(name) ?? ""
+            );
             const limit = Math.min(500, Number(query.get("limit") ?? 500));
             const found = [...rows.values()]
-                .filter(row => row.table === table && row.part === part && row.key >= from && (to === "" || row.key < to))
+                .filter(row =>
+                    row.table === table && row.part === part && row.key >= from && (to === "" || row.key < to)
+                )
                 .sort((a, b) => Buffer.compare(Buffer.from(a.key), Buffer.from(b.key)));
             answer(response, 200, { ...stamp(), rows: found.slice(0, limit), has_more: found.length > limit });
         },
@@ -68,9 +72,14 @@
                 answer(response, 403, stamp());
                 return;
             }
-            const isUnmet = expected_revision.some(row => (rows.get(idOf(row))?.schema_version ?? 0) !== row.schema_version);
+            const isUnmet = expected_revision.some(row =>
+                (rows.get(idOf(row))?.schema_version ?? 0) !== row.schema_version
+            );
             if (isUnmet) {
-                answer(response, 412, { ...stamp(), rows: expected_revision.flatMap(row => rows.get(idOf(row)) ?? []) });
+                answer(response, 412, {
+                    ...stamp(),
+                    rows: expected_revision.flatMap(row => rows.get(idOf(row)) ?? []),
+                });
                 return;
             }
             write(upserts, remove);
--- a/review/lib-2/streamReplica.mjs
+++ b/review/lib-2/streamReplica.mjs
@@ -2,7 +2,9 @@
 // have neither a length nor chunks: they end with their connection, as the pages allow.
 import { createServer } from "node:http";
 
-export async function startStreamReplica({ id, service, zone, host, slots, events, everyMs, bodyBytes, store, record }) {
+export async function startStreamReplica(
+    { id, service, zone, host, slots, events, everyMs, bodyBytes, store, record },
+) {
     const born = Date.now();
     let running = 0;
     let sequence = 0;
@@ -44,16 +46,30 @@
             response.on("close", () => {
                 clearInterval(timer);
                 running--;
-                record(`${id} ${answer.isSent ? "has sent the whole answer to" : "finds the connection closed of"} ${requestId} after ${answer.sentParts} of ${events} parts`);
+                record(
+                    `${id} ${
+                        answer.isSent ? "has sent the whole answer to" : "finds the connection closed of"
+                    } ${requestId} after ${answer.sentParts} of ${events} parts`,
+                );
             });
         });
     });
     await new Promise(resolve => server.listen(0, host, resolve));
     const address = `${host}:${server.address().port}`;
-    const beat = () => store.put("servers", id, {
-        service, address, zone, version: "v1", slots, state: "ready", cold_remaining_ms: 0, phase: "mixed", models: [],
-        sequence: ++sequence, born,
-    });
+    const beat = () =>
+        store.put("servers", id, {
+            service,
+            address,
+            zone,
+            version: "v1",
+            slots,
+            state: "ready",
+            cold_remaining_ms: 0,
+            phase: "mixed",
+            models: [],
+            sequence: ++sequence,
+            born,
+        });
     beat();
     const beats = setInterval(beat, 1_200);
     return {
