--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,6 +1,6 @@
 // Entry processes are killed while replicas answer with neither a length nor chunks; see claim.txt.
 import { createWriteStream } from "node:fs";
-import { request } from "node:http";
+import { callOnce } from "../lib-2/rawCaller.mjs";
 import { startStore } from "../lib-2/store.mjs";
 import { startStreamReplica } from "../lib-2/streamReplica.mjs";
 import { sleep, startEntries } from "../lib-2/system.mjs";
@@ -16,6 +16,7 @@
 
 const store = await startStore(`${net}.1`, record);
 const events = 35;
+const bodyBytes = 1_400_000;
 const replicas = [];
 for (const index of [0, 1, 2]) {
     replicas.push(
@@ -27,7 +28,7 @@
             slots: 24,
             events,
             everyMs: 60,
-            bodyBytes: 1_400_000,
+            bodyBytes,
             store,
             record,
         }),
@@ -86,54 +87,31 @@
 let ids = 0;
 const tally = {};
 let broken = 0;
-/** What an HTTP/1.1 client takes for a whole answer: without a length or chunks, one whose connection was closed, not reset. */
-const call = ({ listen: { frontend } }, kind) =>
-    new Promise(resolve => {
-        const [host, port] = frontend.split(":");
-        const id = `${kind}${(++ids).toString(16).padStart(8, "0")}`;
-        const end = (ending, status, seal, text) => {
-            const answer = replicas.map(replica => replica.sent.get(id)).find(found => found !== undefined);
-            const got = kind === "stream" ? (text.match(/^id: /gm) ?? []).length : text.length;
-            const all = kind === "stream" ? events : events * Math.ceil(1_400_000 / events);
-            const isInsideEvent = kind === "stream" && text !== "" && !text.endsWith("\n\n");
-            const looksWhole = ending === "ended" && status === 200 && seal !== undefined && !isInsideEvent;
-            const isWrong = looksWhole && got < all;
-            broken += isWrong ? 1 : 0;
-            const key = `${kind}: ${status ?? ""} ${
-                isWrong ? "looks whole and is not" : looksWhole ? "whole" : ending
-            }`;
-            tally[key] = (tally[key] ?? 0) + 1;
-            record(`${id} ${key}: ${got} of ${all}; the replica had sent ${answer?.sentParts} of ${events} parts`);
-            resolve();
-        };
-        const sent = request({
-            host,
-            port,
-            method: "POST",
-            path: `/${kind}/${ids}`,
-            agent: false,
-            headers: {
-                Host: "app.example",
-                "Attempt-Id": id,
-                "Deadline-Ms": kind === "stream" ? "6000" : "4000",
-                "Content-Length": "2",
-            },
-        }, response => {
-            let text = "";
-            response.setEncoding("latin1");
-            response.on("data", chunk => text += chunk);
-            response.on(
-                "error",
-                error => end(`cut (${error.code})`, response.statusCode, response.headers["response-seal"], text),
-            );
-            response.on(
-                "end",
-                () => response.complete && end("ended", response.statusCode, response.headers["response-seal"], text),
-            );
-        });
-        sent.on("error", error => end(`closed (${error.code})`, undefined, undefined, ""));
-        sent.end("{}");
+const bytesOf = { stream: events, order: events * Math.ceil(bodyBytes / events) };
+/** What a client of HTTP/1.1 takes for whole: without a length or chunks, an answer whose connection was closed, not reset. */
+const call = async ({ listen: { frontend } }, kind) => {
+    const id = `${kind}${(++ids).toString(16).padStart(8, "0")}`;
+    const { ending, status, headers, body } = await callOnce(frontend, {
+        method: "POST",
+        path: `/${kind}/${ids}`,
+        headers: { Host: "app.example", "Attempt-Id": id, "Deadline-Ms": kind === "stream" ? "6000" : "4000" },
+        body: "{}",
     });
+    const text = body.toString("latin1");
+    const got = kind === "stream" ? (text.match(/^id: /gm) ?? []).length : body.length;
+    const isInsideEvent = kind === "stream" && text !== "" && !text.endsWith("\n\n");
+    const hasMarkedEnd = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+    const isSuccess = status === 200 && headers["response-seal"] !== undefined;
+    const looksWhole = isSuccess && ending === "closed" && !hasMarkedEnd && !isInsideEvent;
+    const isWrong = looksWhole && got < bytesOf[kind];
+    broken += isWrong ? 1 : 0;
+    const key = `${kind}: ${status ?? "no answer"}, ${ending}${
+        isWrong ? ", looks whole and is not" : looksWhole ? ", whole" : ""
+    }`;
+    tally[key] = (tally[key] ?? 0) + 1;
+    const answer = replicas.map(replica => replica.sent.get(id)).find(found => found !== undefined);
+    record(`${id} ${key}: ${got} of ${bytesOf[kind]}; the replica had sent ${answer?.sentParts} of ${events} parts`);
+};
 const calls = [];
 for (let round = 0; round < 60; round++) {
     const entry = system.entries[round % entryCount];
