--- a/review/lib-2/plainReplica.mjs
+++ b/review/lib-2/plainReplica.mjs
@@ -14,16 +14,21 @@
         request.resume();
         request.on("end", () => {
             const requestId = request.headers["attempt-id"] ?? "";
-            const echo = { "attempt-id": requestId, "replica-load": `${running},0,${slots}` };
+            // A replica that leaves says so in all its answers.
+            const echo = () => ({
+                "attempt-id": requestId,
+                "replica-load": `${running},0,${slots}`,
+                ...hasLeft ? { "server-leaving": "1" } : {},
+            });
             const expected = request.headers["expect-replica"];
             if (expected !== undefined && expected !== id) {
-                response.writeHead(421, { ...echo, "not-executed": "1", "replica-id": id });
+                response.writeHead(421, { ...echo(), "not-executed": "1", "replica-id": id });
                 response.end();
                 return;
             }
             arrivals.set(requestId, performance.now());
             if (running >= slots) {
-                response.writeHead(503, { ...echo, "not-executed": "1" });
+                response.writeHead(503, { ...echo(), "not-executed": "1" });
                 response.end();
                 return;
             }
@@ -32,7 +37,7 @@
             record(`${id} begins ${requestId}`);
             setTimeout(() => {
                 running--;
-                response.writeHead(200, { ...echo, "response-seal": `${id}.${requestId}` });
+                response.writeHead(200, { ...echo(), "response-seal": `${id}.${requestId}` });
                 response.end("done");
             }, workMs);
         });
