--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -32,6 +32,8 @@
     readonly onHeldBack: () => void;
     /** Called for an answer that proves nothing about the request; the attempt is aborted. */
     readonly onStrayAnswer: (head: AnswerHead, earlierRequests: number) => void;
+    /** Called before `onEnd` if an answer without a marked end has ended: it is whole if its connection was closed. */
+    readonly onUnmarkedEnd: (head: AnswerHead, connection: "closed" | "reset") => void;
 };
 
 export type Attempt = {
@@ -314,7 +316,14 @@
             finish({ kind: "whole" });
             return;
         }
-        void isReset.then(hasBrokenOff => hasBrokenOff ? fail("the answer broke off") : finish({ kind: "whole" }));
+        void isReset.then(wasReset => {
+            events.onUnmarkedEnd(head, wasReset ? "reset" : "closed");
+            if (wasReset) {
+                fail("the answer broke off");
+                return;
+            }
+            finish({ kind: "whole" });
+        });
     });
     answer.on("error", error => fail((error as NodeJS.ErrnoException).code ?? error.message));
     answer.on("close", () => {
--- a/packages/gateway/src/exchange/attemptRun.ts
+++ b/packages/gateway/src/exchange/attemptRun.ts
@@ -142,6 +142,7 @@
             }
             noteStrayAnswer(options, head, earlierRequests);
         },
+        onUnmarkedEnd: (head, connection) => noteUnmarkedEnd(options, head, connection),
         onEnd: end => noteEnd(state, end),
         onUnreadable: fault => {
             noteAnswer(state, true);
@@ -218,6 +219,22 @@
     });
 }
 
+/** Logs and counts how an answer without a length or chunks ended, as nothing else tells whether it is whole. */
+function noteUnmarkedEnd(
+    { admitted, dependencies, placement }: AttemptRunOptions,
+    { status }: AnswerHead,
+    connection: "closed" | "reset",
+): void {
+    const { log, metrics } = dependencies.context;
+    metrics.unmarkedEnds.inc({ connection });
+    log.info("answerEndUnmarked", {
+        requestId: admitted.caller.requestId,
+        upstream: placement.upstream.record.id,
+        status,
+        connection,
+    });
+}
+
 function isStalled(
     { admitted: { service, route }, placement, canRetryElsewhere }: AttemptRunOptions,
     { startedAtMs, hasHead, lastBytesAtMs, isPaused }: Progress,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -175,6 +175,12 @@
             labelNames: ["hasId", "isNotRun"],
             registers,
         }),
+        unmarkedEnds: new Counter({
+            name: "rattanquay_gateway_unmarked_ends_total",
+            help: "Answers of upstreams without a length or chunks, by how their connection ended.",
+            labelNames: ["connection"],
+            registers,
+        }),
         unusableRows: new Counter({
             name: "rattanquay_gateway_unusable_rows_total",
             help: "Rows of the store, and records from peers, that could not be used, each time one was read.",
