--- a/packages/gateway/src/exchange/framedResponse.ts
+++ b/packages/gateway/src/exchange/framedResponse.ts
@@ -1,4 +1,9 @@
-/** Writes one answer to a caller's connection, framed as its head declares. */
+/**
+ * Writes one answer to a caller's connection, with the length that its head declares, else in chunks.
+ *
+ * Its end is always marked where the caller's version of HTTP allows it: an answer that ends with its connection looks complete
+ * when this process ends, because the system closes the connections of a process that has been killed.
+ */
 import { type ServerResponse } from "node:http";
 import { type RawHeaders } from "../ports";
 
@@ -6,7 +11,6 @@
     readonly status: number;
     readonly headers: RawHeaders;
     readonly body: Buffer;
-    readonly hasMarkedEnd: boolean;
 };
 
 type Head = Omit<BufferedAnswer, "body">;
@@ -30,12 +34,7 @@
     let missing: number | undefined;
     const hasBody = (status: number): boolean => response.req.method !== "HEAD" && !statusesWithoutBody.has(status);
     return {
-        begin: ({ status, headers, hasMarkedEnd }) => {
-            if (!hasMarkedEnd) {
-                // Without a length or chunks the answer ends with the connection, as it does at the upstream.
-                response.useChunkedEncodingByDefault = false;
-                response.shouldKeepAlive = false;
-            }
+        begin: ({ status, headers }) => {
             missing = hasBody(status) ? declaredLength(headers) : undefined;
             response.writeHead(status, [...headers]);
         },
@@ -58,7 +57,7 @@
             response.destroy();
         },
         withLength: (head, bytes) =>
-            head.hasMarkedEnd && hasBody(head.status) && declaredLength(head.headers) === undefined
+            hasBody(head.status) && declaredLength(head.headers) === undefined
                 ? { ...head, headers: [...head.headers, "content-length", String(bytes)] }
                 : head,
     };
--- a/packages/gateway/src/exchange/refusals.ts
+++ b/packages/gateway/src/exchange/refusals.ts
@@ -79,7 +79,7 @@
         // Unread body bytes would be parsed as the next request on this connection.
         answer.closeConnectionAfter();
     }
-    if (!answer.sendWhole({ status, headers, body, hasMarkedEnd: true })) {
+    if (!answer.sendWhole({ status, headers, body })) {
         answer.reset();
     }
 }
--- a/packages/gateway/src/exchange/relays.ts
+++ b/packages/gateway/src/exchange/relays.ts
@@ -104,11 +104,11 @@
             if (end.kind !== "whole") {
                 return resultOfIncomplete(end);
             }
-            const { status, headers, hasMarkedEnd } = head!;
+            const { status, headers } = head!;
             if (body !== undefined) {
                 return body.end() ? { kind: "answered", status } : unfitAnswer;
             }
-            const answer = { status, headers, body: buffered.take(), hasMarkedEnd };
+            const answer = { status, headers, body: buffered.take() };
             if (!isSuccess(status)) {
                 return { kind: "failed", answer };
             }
