--- a/packages/core/src/engineGroups/__tests__/fakeEngines.ts
+++ b/packages/core/src/engineGroups/__tests__/fakeEngines.ts
@@ -38,6 +38,8 @@
 ];
 
 const rejoinMs = 200;
+/** How long a head stands still before it is broken. */
+export const stallMs = 4_000;
 /** How long the store keeps the entry of an unreachable instance. */
 const entryLapseMs = 3_600;
 
@@ -51,6 +53,10 @@
     lastModel: string | undefined;
     highestEpoch: number;
     members: readonly string[];
+    /** The group that it joined last, also after it has left. */
+    lastGroup: GroupMembership | undefined;
+    /** As a head: since when a member has been dead or outside its group. */
+    stalledSinceMs: number | undefined;
     pendingActions: { readonly atMs: number; readonly act: () => void }[];
 };
 
@@ -81,6 +87,8 @@
             lastModel: undefined,
             highestEpoch: 0,
             members: [],
+            lastGroup: undefined,
+            stalledSinceMs: undefined,
             pendingActions: [],
         });
     }
@@ -92,6 +100,25 @@
             engine.pendingActions = engine.pendingActions.filter(({ atMs }) => atMs > this.nowMs);
             dueActions.forEach(({ act }) => act());
         }
+        this.engines.forEach(engine => this.breakIfStalled(engine));
+    }
+
+    /** A head whose member is dead or has left stands still, and is broken after `stallMs`. A partition of a member is no death. */
+    private breakIfStalled(engine: Engine): void {
+        const { record, members } = engine;
+        const { membership } = record;
+        if (membership?.rank !== 0 || (membership.state !== "open" && membership.state !== "closing")) {
+            return;
+        }
+        const isIntact = members.every(id => {
+            const { record: member, unreachableSinceMs, isPartitioned } = this.engine(id);
+            return (unreachableSinceMs === undefined || isPartitioned)
+                && member.membership?.group === membership.group && member.membership.epoch === membership.epoch;
+        });
+        engine.stalledSinceMs ??= isIntact ? undefined : this.nowMs;
+        if (engine.stalledSinceMs !== undefined && this.nowMs - engine.stalledSinceMs >= stallMs) {
+            engine.record = { ...record, membership: { ...membership, state: "broken" } };
+        }
     }
 
     makeUnreachable(id: string): void {
@@ -109,6 +136,7 @@
         engine.unreachableSinceMs = undefined;
         engine.pendingActions = [];
         engine.lastModel = undefined;
+        engine.lastGroup = undefined;
         engine.highestEpoch = 0;
         engine.record = { ...engine.record, bornAtMs: this.nowMs + 1, loadedModels: [], membership: undefined };
     }
@@ -137,14 +165,23 @@
         return new Set(silent.map(({ record }) => record.id));
     }
 
+    /** Number of groups of a model that serve. */
     serving(model: string): number {
-        return [...this.engines.values()].filter(({ record, unreachableSinceMs, members }) =>
-            record.membership?.state === "open" && record.loadedModels.includes(model)
-            && unreachableSinceMs === undefined
-            && members.every(id => this.isMember(id, record.membership!))
+        return [...this.engines.values()].filter(engine =>
+            engine.record.loadedModels.includes(model) && this.isServingHead(engine)
         ).length;
     }
 
+    /** Whether an instance is a member of a group that serves. */
+    isServing(id: string): boolean {
+        return [...this.engines.values()].some(engine => engine.members.includes(id) && this.isServingHead(engine));
+    }
+
+    private isServingHead({ record: { membership }, unreachableSinceMs, members }: Engine): boolean {
+        return membership?.state === "open" && unreachableSinceMs === undefined
+            && members.every(id => this.isMember(id, membership));
+    }
+
     ids(): readonly string[] {
         return [...this.engines.keys()];
     }
@@ -205,7 +242,9 @@
         if (record.membership?.group === group && record.membership.epoch === epoch) {
             return "accepted";
         }
-        this.checkLeaving(engine);
+        if (engine.lastGroup?.group !== group || engine.lastGroup.epoch !== epoch) {
+            this.checkLeaving(engine);
+        }
         engine.highestEpoch = epoch;
         engine.members = members;
         const { warmupMs, loadMs } = profile.models.find(offered => offered.model === model)!;
@@ -215,6 +254,8 @@
             this.loadsAtMs.push(this.nowMs);
         }
         const membership = { group, epoch, rank: members.indexOf(record.id), state: "joining" as const };
+        engine.lastGroup = membership;
+        engine.stalledSinceMs = undefined;
         engine.record = { ...record, membership, loadedModels: [] };
         engine.pendingActions = [{
             atMs: this.nowMs + ms,
@@ -232,17 +273,18 @@
         return "accepted";
     }
 
-    /** Records a violation if the instance is taken out of a group whose head may still serve. */
-    private checkLeaving({ record }: Engine): void {
-        const { membership } = record;
-        const head = [...this.engines.values()].find(other =>
-            other.record.membership?.group === membership?.group && other.record.membership?.rank === 0
-            && other.record.membership.epoch === membership?.epoch
+    /**
+     * Records a violation if the instance is taken from a group whose head is open or closing, or stands still and isn't broken
+     * yet. That the instance itself has left before is no excuse.
+     */
+    private checkLeaving({ record, lastGroup }: Engine): void {
+        const head = [...this.engines.values()].find(({ record: { membership } }) =>
+            membership?.group === lastGroup?.group && membership?.rank === 0 && membership.epoch === lastGroup?.epoch
         );
         const state = head?.record.membership?.state;
-        const stillServes = head !== undefined && (head.unreachableSinceMs === undefined || head.isPartitioned);
-        if (membership !== undefined && stillServes && (state === "open" || state === "closing")) {
-            this.violations.push(`${record.id} joined another group while ${membership.group} was ${state}`);
+        const isAlive = head !== undefined && (head.unreachableSinceMs === undefined || head.isPartitioned);
+        if (lastGroup !== undefined && isAlive && (state === "open" || state === "closing")) {
+            this.violations.push(`${record.id} joined another group while ${lastGroup.group} was ${state}`);
         }
     }
 
--- a/packages/core/src/engineGroups/__tests__/fleet.ts
+++ b/packages/core/src/engineGroups/__tests__/fleet.ts
@@ -1,10 +1,10 @@
 /** Runs a group planner against simulated engine instances in virtual time. */
 import { type EngineGroup, type EngineOrder, type WeightLoad } from "@rattanquay/schema";
 import { type AddressedEngineOrder, type GroupPlanner, makeGroupPlanner } from "../index";
-import { FakeEngines, services } from "./fakeEngines";
+import { FakeEngines, services, stallMs } from "./fakeEngines";
 
 export const tickMs = 60;
-const options = { stallMs: 4_000, loadWindowMs: 5_000 };
+const options = { stallMs, loadWindowMs: 5_000 };
 
 /** Engine instances and their planner, with orders that can be lost or delayed. */
 export class Fleet {
--- a/packages/core/src/engineGroups/groupPlanner.ts
+++ b/packages/core/src/engineGroups/groupPlanner.ts
@@ -4,9 +4,10 @@
  * A group's row is written under the lease before the group's first order is sent. Names and epochs are never reused,
  * so an order that is executed late applies to its own group or to none. A group is opened only when every member
  * itself reports that it is ready in that group. Its members can join another group only when its head certainly no
- * longer serves: the head left the group, restarted, or has been gone for longer than work can stall.
+ * longer serves: the head left the group or restarted, or another member left it for longer than work can stall.
  */
-import { type WeightLoad } from "@rattanquay/schema";
+import { type EngineOrder, type WeightLoad } from "@rattanquay/schema";
+import { noteLeave } from "./breakUp";
 import { outsideEvacuatedZones } from "./evacuation";
 import { evaluateEngineGroup } from "./evaluateEngineGroup";
 import {
@@ -16,9 +17,16 @@
     type OrderResult,
     orphanedHeads,
 } from "./fleetView";
-import { leaveOrphanedGroup, orderKey, planGroupStep } from "./groupSteps";
+import { orderKey } from "./groupOrders";
+import { leaveOrphanedGroup, planGroupStep } from "./groupSteps";
 import { formGroups, isAwaitingRegistrations, stageWeights, type StagingPlan, startPreemption } from "./planForming";
-import { makePlannerMemory, recordObservations, resetForNewTerm, withDepartingInstances } from "./plannerMemory";
+import {
+    makePlannerMemory,
+    type PlannerMemory,
+    recordObservations,
+    resetForNewTerm,
+    withDepartingInstances,
+} from "./plannerMemory";
 
 export type GroupPlanner = {
     readonly plan: (view: FleetView) => GroupPlan;
@@ -76,13 +84,11 @@
                 orders: [...steps.flatMap(({ orders }) => orders), ...orphanOrders, ...stagingPlan.orders],
             };
         },
-        noteOrderOutcome: ({ upstream, order }, { result, witnesses }, nowMs) => {
-            // An instance that rejects an order to leave a group is not a member of it.
-            if (order.kind === "leave" && result !== "unanswered") {
-                memory.releasedGroups.add(order.group);
-            }
-            if (order.kind === "leave" && witnesses >= requiredWitnesses) {
-                memory.confirmedSilentGroups.add(order.group);
+        noteOrderOutcome: (addressed, { result, witnesses }, nowMs) => {
+            const { upstream, order } = addressed;
+            if (order.kind === "leave") {
+                noteLeave(order, result !== "unanswered", memory, nowMs);
+                noteWitnesses(order, witnesses, memory);
             }
             if (order.kind === "stage" && result === "rejected") {
                 memory.loads.drop(upstream);
@@ -102,3 +108,13 @@
         },
     };
 }
+
+function noteWitnesses(
+    order: EngineOrder,
+    witnesses: number,
+    { memberLeaves, confirmedSilentGroups }: PlannerMemory,
+): void {
+    if (order.kind === "leave" && !memberLeaves.has(order) && witnesses >= requiredWitnesses) {
+        confirmedSilentGroups.add(order.group);
+    }
+}
--- a/packages/core/src/engineGroups/groupSteps.ts
+++ b/packages/core/src/engineGroups/groupSteps.ts
@@ -1,22 +1,11 @@
 /** Decides the orders and row changes for one group, by the group's condition. */
-import { type EngineGroup, type EngineOrder, type UpstreamRecord } from "@rattanquay/schema";
+import { type EngineGroup, type UpstreamRecord } from "@rattanquay/schema";
+import { breakUp, endStalledGroup, isBreakUpDue, stalledSinceMs } from "./breakUp";
 import { awaitsEndOfEvacuation } from "./evacuation";
-import { type GroupCondition, memberStatusOf } from "./evaluateEngineGroup";
-import { type AddressedEngineOrder, type FleetView, type GroupPlan, incarnationOf, serviceModelsOf } from "./fleetView";
-import { type PlannerMemory } from "./plannerMemory";
+import { type GroupCondition, type MemberStatus, memberStatusOf } from "./evaluateEngineGroup";
+import { type AddressedEngineOrder, type GroupPlan, serviceModelsOf } from "./fleetView";
+import { joinOrder, leaveOrder, type PlanContext, unlessRecentlySent } from "./groupOrders";
 
-/** An order is sent again when its effect is not visible after this time. */
-const orderRetryMs = 700;
-/**
- * A head without an entry that does not answer may still serve behind a network partition. Its members are released
- * after this many times `stallMs`, counted only while at least one member is visible: a partition that hides all
- * members may hide an intact group.
- */
-const stallsBeforeRelease = 3;
-/** If more instances than this become unreachable at about the same time, a network partition is assumed. */
-const maxConcurrentDeaths = 3;
-/** Time added to `stallMs` after which the group of a dead head has certainly stopped serving. */
-const stallMarginMs = 300;
 /** A group with a leaving member may finish its work for this long before it is dissolved. */
 const drainLimitMs = 2_500;
 /** A group that is not complete after this many times its model's load time is dissolved. */
@@ -25,13 +14,6 @@
 /** Lapsed entries reappear within about two seconds, and each instance is probed again in less than that. */
 const reappearGraceMs = 2_200;
 
-/** The inputs of one planning pass. */
-export type PlanContext = {
-    readonly view: FleetView;
-    readonly memory: PlannerMemory;
-    /** How long work stalls at a dead member before the group counts as broken. */
-    readonly stallMs: number;
-};
 /** The orders and row changes for one group. */
 export type GroupStep = {
     readonly orders: readonly AddressedEngineOrder[];
@@ -86,36 +68,32 @@
     },
     lost: (group, { head, reason, isCertain }, context) => {
         const { memory, view } = context;
-        const isAnyMemberVisible = group.members.some(member => memberStatusOf(group, member, view).kind === "in");
+        const isAnyMemberVisible = group.members.some(member => isVisible(memberStatusOf(group, member, view)));
         if (!isAnyMemberVisible) {
             memory.lastHiddenAtMs.set(group.group, view.nowMs);
         }
-        const sinceMs = isAnyMemberVisible ? group.lostSinceMs ?? view.nowMs : view.nowMs;
         if (head.kind === "reborn" || head.kind === "outside") {
             return dissolve(group, undefined, reason, context);
         }
         if (isAnyMemberVisible && group.lostSinceMs === undefined) {
-            return { orders: [], rewrite: { ...group, lostSinceMs: sinceMs } };
+            return { orders: [], rewrite: { ...group, lostSinceMs: view.nowMs } };
         }
         if (!isCertain && mayReappear(group, context)) {
             return noStep;
         }
-        const { stallMs } = context;
-        const retentionMs = isConfirmedDead(group, context) ? stallMs + stallMarginMs : stallMs * stallsBeforeRelease;
-        const isOver = head.kind === "gone" && view.nowMs - sinceMs > retentionMs;
+        if (head.kind === "in") {
+            return dissolve(group, head.record, reason, context);
+        }
         const record = head.kind === "gone" ? memory.lastHeads.get(group.group) : head.record;
-        return dissolve(group, isOver ? undefined : record, reason, context, isOver);
+        const leaving = record === undefined ? [] : unlessRecentlySent(record, leaveOrder(group), context);
+        const isDue = isAnyMemberVisible && isBreakUpDue(group, head.kind === "gone", context);
+        const step = isDue ? breakUp(group, context) : noStep;
+        return { ...step, orders: [...leaving, ...step.orders] };
     },
 };
 
-/**
- * Whether an unreachable head is dead rather than partitioned: no process in its zone gets an answer from it, and few
- * instances became unreachable at the same time, whereas a partition isolates many at once.
- */
-function isConfirmedDead({ group, members }: EngineGroup, { memory }: PlanContext): boolean {
-    const silence = memory.silences.get(members[0]!.id);
-    return memory.confirmedSilentGroups.has(group) && silence !== undefined
-        && silence.concurrentCount <= maxConcurrentDeaths;
+function isVisible({ kind }: MemberStatus): boolean {
+    return kind === "in" || kind === "outside";
 }
 
 /**
@@ -137,8 +115,13 @@
     if (awaitsEndOfEvacuation(group, condition, context.view, context.memory)) {
         return noStep;
     }
+    const sinceMs = stalledSinceMs(group, context.memory);
+    if (sinceMs !== undefined) {
+        return endStalledGroup(group, sinceMs, context);
+    }
     if (condition.kind !== "lost") {
         context.memory.confirmedSilentGroups.delete(group.group);
+        context.memory.breakUps.delete(group.group);
     }
     const step = handleCondition(group, condition, context);
     const hasRecovered = condition.kind !== "lost" && step.remove === undefined && group.lostSinceMs !== undefined;
@@ -160,12 +143,10 @@
     head: UpstreamRecord | undefined,
     reason: string,
     context: PlanContext,
-    mayRelease = true,
 ): GroupStep {
-    if (head === undefined) {
-        return mayRelease ? { orders: [], remove: { group, reason } } : noStep;
-    }
-    return { orders: unlessRecentlySent(head, { kind: "leave", group: group.group, epoch: group.epoch }, context) };
+    return head === undefined
+        ? { orders: [], remove: { group, reason } }
+        : { orders: unlessRecentlySent(head, leaveOrder(group), context) };
 }
 
 /** Dissolves a group that is being closed once its head has finished its work or `drainLimitMs` has passed. */
@@ -179,7 +160,7 @@
     const { membership } = record;
     return membership === undefined
         ? []
-        : unlessRecentlySent(record, { kind: "leave", group: membership.group, epoch: membership.epoch }, context);
+        : unlessRecentlySent(record, leaveOrder(membership), context);
 }
 
 function isJoinOverdue(group: EngineGroup, { view, memory }: PlanContext): boolean {
@@ -188,25 +169,3 @@
     const serviceModel = serviceModelsOf(view).find(({ model }) => model.model === group.model);
     return view.nowMs - formedAtMs > (serviceModel?.model.loadMs ?? 0) * joinTimeoutFactor;
 }
-
-function joinOrder({ group, epoch, model, members }: EngineGroup): EngineOrder {
-    return { kind: "join", group, epoch, model, members: members.map(({ id }) => id) };
-}
-
-export function orderKey(upstream: UpstreamRecord, order: EngineOrder): string {
-    return `${incarnationOf(upstream)} ${order.kind} ${order.kind === "stage" ? order.model : order.group}`;
-}
-
-/** The order, or nothing if the same order was sent less than `orderRetryMs` ago. */
-function unlessRecentlySent(
-    upstream: UpstreamRecord,
-    order: EngineOrder,
-    { view, memory }: PlanContext,
-): AddressedEngineOrder[] {
-    const key = orderKey(upstream, order);
-    if (view.nowMs - (memory.sentAtMs.get(key) ?? -Infinity) < orderRetryMs) {
-        return [];
-    }
-    memory.sentAtMs.set(key, view.nowMs);
-    return [{ upstream, order }];
-}
--- a/packages/core/src/engineGroups/plannerMemory.ts
+++ b/packages/core/src/engineGroups/plannerMemory.ts
@@ -1,5 +1,5 @@
 /** State that the planner keeps between planning passes: past observations of instances, and orders already sent. */
-import { type UpstreamRecord } from "@rattanquay/schema";
+import { type EngineOrder, type UpstreamRecord } from "@rattanquay/schema";
 import { type FleetView, incarnationOf } from "./fleetView";
 import { makeWeightLoadTracker, type WeightLoadTracker } from "./weightLoadTracker";
 
@@ -19,6 +19,10 @@
     termBeganAtMs: number | undefined;
     /** Groups whose head has left them or never was in them. */
     readonly releasedGroups: Set<string>;
+    /** By group: the break-up under way. */
+    readonly breakUps: Map<string, BreakUp>;
+    /** The break-up to which an order to a member belongs; orders to heads are not in it. */
+    readonly memberLeaves: WeakMap<EngineOrder, BreakUp>;
     /** Groups whose head did not answer enough other processes in its own zone either. */
     readonly confirmedSilentGroups: Set<string>;
     /** The last known record of each group's head; orders can still be sent to it after its entry is gone. */
@@ -41,6 +45,9 @@
  */
 export type Silence = { readonly sinceMs: number; concurrentCount: number };
 
+/** Members of a group with a silent head are ordered to leave. `leftAtMs` is when the first one was known to have left. */
+export type BreakUp = { leftAtMs: number | undefined };
+
 /** `loadWindowMs` is the window over which the weight store's rate limit applies. */
 export function makePlannerMemory(loadWindowMs: number): PlannerMemory {
     return {
@@ -53,6 +60,8 @@
         before: undefined,
         termBeganAtMs: undefined,
         releasedGroups: new Set(),
+        breakUps: new Map(),
+        memberLeaves: new WeakMap(),
         confirmedSilentGroups: new Set(),
         lastHeads: new Map(),
         reserved: new Map(),
@@ -70,6 +79,7 @@
 export function resetForNewTerm(memory: PlannerMemory): void {
     memory.sentAtMs.clear();
     memory.releasedGroups.clear();
+    memory.breakUps.clear();
     memory.confirmedSilentGroups.clear();
     memory.silences.clear();
     memory.lastHiddenAtMs.clear();
@@ -95,6 +105,8 @@
             memory.reserved.delete(domain);
         }
     }
+    keepOnly(memory.lastHeads, view.groups);
+    keepOnly(memory.breakUps, view.groups);
     for (const { group, members } of view.groups) {
         const head = view.upstreams.get(members[0]!.id);
         if (head?.bornAtMs === members[0]!.bornAtMs) {
@@ -111,6 +123,16 @@
     }
 }
 
+/** Forgets the groups that have no row. */
+function keepOnly(byGroup: Map<string, unknown>, groups: FleetView["groups"]): void {
+    const names = new Set(groups.map(({ group }) => group));
+    for (const name of byGroup.keys()) {
+        if (!names.has(name)) {
+            byGroup.delete(name);
+        }
+    }
+}
+
 /** Instances found unreachable within this time may share one cause, since they are not probed at the same moment. */
 const concurrencyWindowMs = 700;
 const silenceRetentionMs = 60_000;
--- a/packages/schema/src/serving.ts
+++ b/packages/schema/src/serving.ts
@@ -189,6 +189,8 @@
      * It is on the clock of the process that keeps the row; in the store it is on the store's clock.
      */
     lostSinceMs: z.number().optional(),
+    /** Since when a member is known to have left for good, on the same clock; its head can do no more work. */
+    stalledSinceMs: z.number().optional(),
 });
 export type EngineGroup = z.infer<typeof EngineGroup>;
 
