--- a/packages/gateway/src/control/groupRows.ts
+++ b/packages/gateway/src/control/groupRows.ts
@@ -39,19 +39,16 @@
             log.info("groupGivenUp", { group: group.group, model: group.model, reason });
         });
     };
-    const shiftLoads = (loads: readonly WeightLoad[], byMs: number): readonly WeightLoad[] =>
-        loads.map(load => ({ ...load, beganAtMs: load.beganAtMs + byMs }));
-    const shiftGroup = (group: EngineGroup, byMs: number): EngineGroup =>
-        group.lostSinceMs === undefined ? group : { ...group, lostSinceMs: group.lostSinceMs + byMs };
+    const { toStoreMs, toLocalMs } = lease.storeClock;
     const groupRow = (group: EngineGroup) => ({
         table: groupTable,
         key: group.group,
-        text: JSON.stringify(shiftGroup(group, lease.storeClockAheadMs())),
+        text: JSON.stringify(convertGroup(group, toStoreMs)),
     });
     const loadRows = ({ loads }: PlannedRows) =>
         loads === undefined
             ? []
-            : [{ table: loadTable, key: loadKey, text: JSON.stringify(shiftLoads(loads, lease.storeClockAheadMs())) }];
+            : [{ table: loadTable, key: loadKey, text: JSON.stringify(convertLoads(loads, toStoreMs)) }];
     return {
         all: () => groups === undefined ? undefined : [...groups.values()],
         read: async () => {
@@ -61,9 +58,9 @@
             }
             const found = groupRows.value.flatMap(row => faults.take(row, parseRow(EngineGroup, row)) ?? []);
             const loads = loadRow.value.flatMap(row => faults.take(row, parseRow(WeightLoads, row)) ?? []);
-            groups = new Map(found.map(group => [group.group, shiftGroup(group, -lease.storeClockAheadMs())]));
+            groups = new Map(found.map(group => [group.group, convertGroup(group, toLocalMs)]));
             log.info("groupsRead", { groups: groups.size, loads: loads.length, fence: lease.fence() });
-            return shiftLoads(loads, -lease.storeClockAheadMs());
+            return convertLoads(loads, toLocalMs);
         },
         write: async plan => {
             const { form, rewrite, remove } = plan;
@@ -89,3 +86,18 @@
         },
     };
 }
+
+type Conversion = (ms: number) => number;
+
+function convertGroup(group: EngineGroup, convert: Conversion): EngineGroup {
+    const { lostSinceMs, stalledSinceMs, ...rest } = group;
+    return {
+        ...rest,
+        ...lostSinceMs === undefined ? {} : { lostSinceMs: convert(lostSinceMs) },
+        ...stalledSinceMs === undefined ? {} : { stalledSinceMs: convert(stalledSinceMs) },
+    };
+}
+
+function convertLoads(loads: readonly WeightLoad[], convert: Conversion): readonly WeightLoad[] {
+    return loads.map(load => ({ ...load, beganAtMs: convert(load.beganAtMs) }));
+}
--- a/packages/gateway/src/control/leaseKeeper.ts
+++ b/packages/gateway/src/control/leaseKeeper.ts
@@ -17,6 +17,7 @@
 import { type PlanningCandidacy } from "../peers";
 import { type RowTransaction, type StoreOutcome } from "../ports";
 import { makeLeaseDecoder } from "./leaseRow";
+import { makeStoreClock, type StoreClock } from "./storeClock";
 import { leaseKey, leaseTable } from "./tables";
 
 export type LeaseKeeper = {
@@ -30,8 +31,8 @@
     readonly heldTerm: () => HeldTerm;
     /** The holder when the lease row was last read, which can be long ago; undefined if nobody held it. */
     readonly lastReadHolder: () => ReportedHolder | undefined;
-    /** How far the store's clock was ahead of the local one at the last reading. */
-    readonly storeClockAheadMs: () => number;
+    /** The store's clock by the last answer about the lease. */
+    readonly storeClock: Pick<StoreClock, "toStoreMs" | "toLocalMs">;
     /**
      * Writes on condition that the lease row is unchanged, so that it takes effect only while this process holds it.
      */
@@ -66,6 +67,7 @@
     const decodeRow = makeLeaseDecoder(context, termMs);
     let state: PlanningLeaseState = initialPlanningLease;
     const termStart = makeTermStart();
+    const storeClock = makeStoreClock(timer.nowMs);
     // Without a row nobody has planned yet, and the processes may not know each other.
     const options = (): LeaseOptions => ({
         holder,
@@ -95,6 +97,7 @@
             return;
         }
         const row = outcome.value.find(({ key }) => key === leaseKey);
+        storeClock.note(outcome.stamp);
         const { sentAtMs, storeNowMs } = outcome.stamp;
         const reading = {
             row: row === undefined ? undefined : decodeRow(row, storeNowMs),
@@ -112,6 +115,7 @@
             remove: [],
         });
         if (outcome.kind === "done") {
+            storeClock.note(outcome.stamp);
             const { sentAtMs, storeNowMs, storeRevision: revision } = outcome.stamp;
             setState(noteSnapshot(state, { row, revision, storeNowMs, sentAtMs }, options()));
             return;
@@ -137,7 +141,7 @@
         holderInstance: () => instanceOf(state.reading?.row),
         heldTerm: () => ({ isHeld: isHeld(), sinceMs: termStart.sinceMs() }),
         lastReadHolder: () => lastReadHolder(state, timer.nowMs()),
-        storeClockAheadMs: () => state.reading === undefined ? 0 : state.reading.storeNowMs - state.reading.sentAtMs,
+        storeClock,
         writeUnder: async transaction => {
             const { held } = state;
             if (held === undefined || !isHeld()) {
