--- a/packages/gateway/src/exchange/attempt.ts
+++ b/packages/gateway/src/exchange/attempt.ts
@@ -1,13 +1,12 @@
 /** One attempt: sends a request to one upstream and reads its answer. */
 import { proofOfAnswer, requiresNewConnection } from "@rattanquay/core";
-import { type RequestBody } from "@rattanquay/peer";
+import { detectReset, type RequestBody } from "@rattanquay/peer";
 import { type Timer } from "@rattanquay/timer";
 import { type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
 import { limitHeadBytes } from "../limitHeadBytes";
 import { type AnswerHead, type RawHeaders, type RequestCodec } from "../ports";
 import { type KnownUpstream } from "../upstreams";
 import { discardBody } from "./discardBody";
-import { detectReset } from "./resetDetection";
 import { type Gate, sendRequest } from "./sendRequest";
 
 /** How an attempt ended. Each attempt ends exactly once. */
--- a/packages/gateway/src/exchange/index.ts
+++ b/packages/gateway/src/exchange/index.ts
@@ -5,7 +5,6 @@
 export { type ExchangeOutcome, runExchange } from "./exchange";
 export { type ExchangeDependencies } from "./exchangeDependencies";
 export { makePlacementGuard, openPlacementGuard, type PlacementGuard } from "./placementGuard";
-export { detectReset } from "./resetDetection";
 export { makeStallWatch, type StallWatch } from "./stallWatch";
 export { makeUnreadableAnswers } from "./unreadableAnswers";
 export { makeUpstreamBytes } from "./upstreamBytes";
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,7 +2,6 @@
 export { makeByteCollector } from "@rattanquay/peer";
 export { type ClusterState, makeClusterState, type RemovedId, type Revisioned } from "./clusterState";
 export { errorFields } from "./errorFields";
-export { detectReset } from "./exchange";
 export { type Gateway, type GatewayOptions, startGateway } from "./gateway";
 export { limitHeadBytes } from "./limitHeadBytes";
 export { type GatewayMetrics, makeGatewayMetrics } from "./metrics";
--- a/platform/src/headFault.ts
+++ b/packages/peer/src/answers/headFault.ts
@@ -8,14 +8,28 @@
 const noContentStatus = 204;
 const notModifiedStatus = 304;
 
+/** The parts of an answer that are checked, of one that has just come or of one that was kept. */
+export type AnswerParts = Pick<IncomingMessage, "statusCode" | "headers" | "rawHeaders">;
+
+/** Whether a status can be that of a final answer. Node's parser takes any of three digits, and its writer none below 100. */
+export function isFinalStatus(status: number): boolean {
+    return status >= minStatus && status <= maxStatus;
+}
+
+/** Whether an answer has a length or chunked framing, or no body; without them, it ends with the connection. */
+export function hasMarkedEnd({ statusCode = 0, headers }: AnswerParts, method: string): boolean {
+    return hasNoBody(method, statusCode) || headers["content-length"] !== undefined
+        || headers["transfer-encoding"] !== undefined;
+}
+
 /** Whether an answer ends with its head, whatever its headers declare. */
-export function hasNoBody(method: string, status: number): boolean {
+function hasNoBody(method: string, status: number): boolean {
     return method === "HEAD" || status === noContentStatus || status === notModifiedStatus;
 }
 
 /** Undefined for a head that is sound. The fault names a header only with characters that a log line can show. */
-export function findHeadFault({ statusCode = 0, headers, rawHeaders }: IncomingMessage): string | undefined {
-    if (statusCode < minStatus || statusCode > maxStatus) {
+export function findHeadFault({ statusCode = 0, headers, rawHeaders }: AnswerParts): string | undefined {
+    if (!isFinalStatus(statusCode)) {
         return `status ${statusCode}`;
     }
     if (rawHeaders.length >= 2 * maxHeaders) {
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -1,7 +1,8 @@
 /**
  * Links between entry instances: framed messages over TCP, mutually authenticated by a shared secret. Also what the listeners of
- * both interfaces share to hold bytes for their callers.
+ * both interfaces share to hold bytes for their callers and to check the answers of upstreams.
  */
+export { type AnswerParts, detectReset, findHeadFault, hasMarkedEnd, isFinalStatus } from "./answers";
 export { type ByteCollector, makeByteCollector } from "./byteCollector";
 export {
     answerUnparsedRequests,
