--- a/packages/entry/src/callers/__tests__/chatAttempt.test.ts
+++ b/packages/entry/src/callers/__tests__/chatAttempt.test.ts
@@ -78,6 +78,14 @@
     { name: "503 with the outcome notRun", respond: refusal(503, "", { "x-outcome": "notRun" }), kind: "unreached" },
     { name: "502 with the outcome unknown", respond: refusal(502, "", { "x-outcome": "unknown" }), kind: "cut" },
     { name: "a redirect", respond: refusal(302, "", { location: "/" }), kind: "cut" },
+    ...["000", "001", "099", "101", "600", "999"].map(status => ({
+        name: `status ${status} with the outcome notRun`,
+        respond: (response: ServerResponse) =>
+            void response.socket?.end(
+                `HTTP/1.1 ${status} Odd\r\nx-outcome: notRun\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
+            ),
+        kind: "cut",
+    })),
     { name: "a connection closed before the response headers", respond: response => response.destroy(), kind: "cut" },
     {
         name: "nothing after the response headers",
--- a/packages/entry/src/callers/chat.ts
+++ b/packages/entry/src/callers/chat.ts
@@ -15,6 +15,7 @@
 import { findAssignment, lookUp, refuseMissing } from "./confirmedLookup";
 import { type Exchange, type RequestOutcome, sendError } from "./exchange";
 import { spill } from "./spill";
+import { logUnreadableAnswer } from "./unreadableAnswer";
 
 /** A chat completion may run more than once, because its answer is its only effect. */
 const retryRules = { isRepeatable: true, maxAttempts: 4 };
@@ -148,6 +149,7 @@
     });
     span.setAttributes({ result: result.kind });
     span.end();
+    logUnreadableAnswer(result, exchange, replica.address, processContext);
     return result;
 }
 
--- a/packages/entry/src/callers/chatAttempt.ts
+++ b/packages/entry/src/callers/chatAttempt.ts
@@ -1,4 +1,5 @@
 /** Makes one attempt at a chat completion, at a replica or at an entry instance of another availability zone. */
+import { findHeadFault } from "@rattanquay/peer";
 import { type Limits } from "@rattanquay/schema";
 import { type Timer } from "@rattanquay/timer";
 import { Agent, request as httpRequest, type ServerResponse } from "node:http";
@@ -14,8 +15,11 @@
     | { readonly kind: "unreached" }
     /** The upstream rejected the request as invalid; another replica would reject it too. */
     | { readonly kind: "rejected"; readonly status: number; readonly body: string }
-    /** The stream ended before it was complete, or the upstream's refusal does not show whether the request ran. */
-    | { readonly kind: "cut" }
+    /**
+     * The stream ended before it was complete, or the upstream's refusal does not show whether the request ran. `fault` is what
+     * could not be read of the answer, if one came.
+     */
+    | { readonly kind: "cut"; readonly fault?: string }
     | { readonly kind: "timedOut" }
     | { readonly kind: "callerGone" };
 
@@ -65,10 +69,18 @@
             method: "POST",
             agent,
             headers: { ...attempt.headers, "content-type": "application/json", accept: "text/event-stream" },
-        }, response =>
-            response.statusCode === 200
-                ? readStream(response, answer.openSink(attemptId), end, idle)
-                : readRefusal(response, attempt.echoedRequestId, end));
+        }, response => {
+            const fault = findHeadFault(response);
+            if (fault !== undefined) {
+                end({ kind: "cut", fault });
+                return;
+            }
+            if (response.statusCode === 200) {
+                readStream(response, answer.openSink(attemptId), end, idle);
+                return;
+            }
+            readRefusal(response, attempt.echoedRequestId, end);
+        });
         const idle = watchIdle(timer, limits.upstreamIdleTimeoutMs, () => end({ kind: "timedOut" }));
         const cancelConnect = timer.after(limits.connectTimeoutMs, () => connected || end({ kind: "unreached" }));
         request.on("socket", socket => {
--- a/packages/entry/src/callers/plain.ts
+++ b/packages/entry/src/callers/plain.ts
@@ -11,6 +11,7 @@
 import { type CallResult, sendResult } from "./plainAnswer";
 import { attemptPlain, type PlainResult } from "./plainAttempt";
 import { serveClaimedCall } from "./plainClaim";
+import { logUnreadableAnswer } from "./unreadableAnswer";
 
 const maxAttempts = 3;
 const idempotencyHeader = "idempotency-key";
@@ -203,5 +204,6 @@
     });
     span.setAttributes({ result: result.kind });
     span.end();
+    logUnreadableAnswer(result, exchange, address, processContext);
     return result;
 }
--- a/packages/entry/src/callers/plainAttempt.ts
+++ b/packages/entry/src/callers/plainAttempt.ts
@@ -1,4 +1,5 @@
 /** Makes one attempt at a plain service's upstream. */
+import { findHeadFault } from "@rattanquay/peer";
 import { type Timer } from "@rattanquay/timer";
 import { Agent, type IncomingMessage, request as httpRequest } from "node:http";
 import { headersToCaller } from "./forwardedHeaders";
@@ -14,7 +15,8 @@
     | PlainAnswer
     /** No connection was established, so no byte of the request reached the upstream. */
     | { readonly kind: "unreached" }
-    | { readonly kind: "cut" }
+    /** `fault` is what could not be read of the answer, if one came. */
+    | { readonly kind: "cut"; readonly fault?: string }
     | { readonly kind: "timedOut" };
 
 type Attempt = {
@@ -76,6 +78,11 @@
 }
 
 function collectResponse(response: IncomingMessage, end: (result: PlainResult) => void): void {
+    const fault = findHeadFault(response);
+    if (fault !== undefined) {
+        end({ kind: "cut", fault });
+        return;
+    }
     const chunks: Buffer[] = [];
     let size = 0;
     response.on("data", (chunk: Buffer) => {
