Check a kept outcome before it is given again

What callers saw: an outcome that was kept with a status of 000, or whose headers no writer takes, ended each process that got a retry of its call, for as long as the row lives. Cause: the body of a claim's row was cast, not read by its schema, and its head went to the writer unchecked. Change: the row's status is that of a final answer by its schema; a row that can't be read leaves its call in doubt (inDoubt: it may have run); a head at fault in a row that can be read gets answerNotKept.

--- a/packages/core/src/outcomes/__tests__/claim.test.ts
+++ b/packages/core/src/outcomes/__tests__/claim.test.ts
@@ -188,4 +188,30 @@
     });
 }
 
+const answered = { requestId: "r", process: "p", digest: "same", state: "answered", status: 200 };
+const oddBodies = [
+    ...[0, 1, 99, 101, 199, 600, 999, 200.5, -1, "200", null].map(status => ({ ...answered, status })),
+    { ...answered, state: "other" },
+    { ...answered, digest: undefined },
+    { ...answered, headers: ["a"] },
+    { ...answered, headers: { a: 1 } },
+    { ...answered, body: 7 },
+    null,
+    "text",
+    [],
+];
+
+for (const body of oddBodies) {
+    test(`a claim's row that can't be read leaves the call in doubt: ${JSON.stringify(body)}`, () => {
+        const step = startClaim({ token: "t", requestId: "r", process: "p", digest: "same" });
+        assert.is(step.kind, "read");
+        const row = { partition: "claims", key: "k", version: 3, token: "other", body } as unknown as KeyedRow;
+        const next = continueClaim((step as Extract<ClaimStep, { readonly kind: "read" }>).state, {
+            kind: "read",
+            outcome: { kind: "done", value: row },
+        });
+        assert.equal(next, { kind: "ended", verdict: { kind: "inDoubt" } });
+    });
+}
+
 test.run();
--- a/packages/core/src/outcomes/claim.ts
+++ b/packages/core/src/outcomes/claim.ts
@@ -5,7 +5,7 @@
  * paused and still send after it resumes, and only the owner may send. An outcome that was not recorded therefore stays in
  * doubt permanently.
  */
-import { type ClaimRow, type Condition, type KeyedRow, type Row, type TableOutcome } from "@rattanquay/schema";
+import { ClaimRow, type Condition, type KeyedRow, type Row, type TableOutcome } from "@rattanquay/schema";
 
 /** The data of one claimant; `token` identifies its write. */
 export type Claimant = {
@@ -117,7 +117,12 @@
     if (row === undefined) {
         return undefined;
     }
-    const claim = row.body as ClaimRow;
+    const parsed = ClaimRow.safeParse(row.body);
+    if (!parsed.success) {
+        // It is nobody's to take over, and no answer to give: the call may have run.
+        return { kind: "inDoubt" };
+    }
+    const claim = parsed.data;
     if (claim.digest !== claimant.digest) {
         return { kind: "keyReused" };
     }
--- a/packages/entry/src/callers/__tests__/plain.test.ts
+++ b/packages/entry/src/callers/__tests__/plain.test.ts
@@ -3,11 +3,11 @@
  * disconnected, or its upstream was removed.
  */
 import { emptySnapshot, makeRetryBudget, type Snapshot } from "@rattanquay/core";
-import { Settings } from "@rattanquay/schema";
-import { makeTracing } from "@rattanquay/telemetry";
+import { type ClaimRow, Settings } from "@rattanquay/schema";
+import { makeTracing, silentLog } from "@rattanquay/telemetry";
 import { systemTimer } from "@rattanquay/timer";
-import { createServer, type Server } from "node:http";
-import { type AddressInfo } from "node:net";
+import { createServer, IncomingMessage, type Server, ServerResponse } from "node:http";
+import { type AddressInfo, Socket } from "node:net";
 import { Readable } from "node:stream";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -43,23 +43,21 @@
     } as unknown as Snapshot;
 }
 
-type Given = { readonly lateMs?: number; readonly isGone?: boolean; readonly declared?: string; readonly key?: string };
+type Given = {
+    readonly lateMs?: number;
+    readonly isGone?: boolean;
+    readonly declared?: string;
+    readonly key?: string;
+    /** The outcome that the table has for the key. */
+    readonly kept?: Partial<ClaimRow>;
+};
 
 /** Serves one call with stubbed dependencies. The clock advances by `lateMs` before the replica is granted. */
-async function serve({ lateMs = 0, isGone = false, declared = addressOf(), key }: Given) {
+async function serve({ lateMs = 0, isGone = false, declared = addressOf(), key, kept }: Given) {
     let clockOffsetMs = 0;
     const states: string[] = [];
-    const sent: { status?: number } = {};
-    const response = {
-        destroyed: false,
-        headersSent: false,
-        once: () => undefined,
-        off: () => undefined,
-        writeHead: (status: number) => {
-            sent.status = status;
-        },
-        end: () => undefined,
-    };
+    // Its head is checked as a real one's is.
+    const response = Object.assign(new ServerResponse(new IncomingMessage(new Socket())), { destroyed: false });
     const tracing = makeTracing({ endpoint: undefined, process: "p", availabilityZone: "zone-a" });
     const request = Object.assign(Readable.from([Buffer.from("{}")]), {
         method: "POST",
@@ -86,11 +84,14 @@
             settings: { limits: Settings.shape.limits.parse({}) },
             timer: { ...systemTimer, nowMs: () => systemTimer.nowMs() + clockOffsetMs },
             metrics: { attempts: { inc: () => undefined } },
+            log: silentLog,
             tracing,
         },
         retryBudget: makeRetryBudget(0),
         configuration: { feed: { latest: () => ({ snapshot: snapshotWith(declared) }) } },
-        claims: { claim: async () => ({ kind: "granted", settler }) },
+        claims: {
+            claim: async () => kept === undefined ? { kind: "granted", settler } : { kind: "answered", row: kept },
+        },
         dispatch: {
             admit: async () => {
                 clockOffsetMs = lateMs;
@@ -144,6 +145,25 @@
     },
 ];
 
+const answerOf = (changes: Partial<ClaimRow>): Partial<ClaimRow> => ({
+    status: 200,
+    headers: {},
+    body: "b2s=",
+    ...changes,
+});
+const notKept = { ending: "answered", code: "answerNotKept", received: 0, states: [] };
+const keptCases = [
+    { name: "a sound answer", kept: answerOf({}), expected: { ...notKept, code: "replayed" } },
+    { name: "a control character in a header", kept: answerOf({ headers: { a: "b\u0000c" } }), expected: notKept },
+    { name: "a bad name of a header", kept: answerOf({ headers: { "a b": "c" } }), expected: notKept },
+    { name: "two framings", kept: answerOf({ headers: { "transfer-encoding": "gzip" } }), expected: notKept },
+];
+
+for (const { name, kept, expected } of keptCases) {
+    test(`a repeated call whose kept outcome has ${name} ends no process`, async () =>
+        assert.equal(await serve({ key: "k", kept }), expected));
+}
+
 for (const { name, given, expected } of cases) {
     test(`a call ${name}`, async () => assert.equal(await serve(given), expected));
 }
--- a/packages/entry/src/callers/plainClaim.ts
+++ b/packages/entry/src/callers/plainClaim.ts
@@ -3,6 +3,7 @@
  * sent, and its outcome is stored afterwards.
  */
 import { type Settlement } from "@rattanquay/core";
+import { findHeadFault } from "@rattanquay/peer";
 import { type ClaimRow } from "@rattanquay/schema";
 import { digestOf } from "../tickets";
 import { type HandlerContext } from "./callerListener";
@@ -106,7 +107,12 @@
         return sendError(exchange, "answerNotKept", { detail: `Its status was ${row.status}.` });
     }
     const { response } = exchange;
-    response.writeHead(row.status, { ...row.headers, "idempotent-replayed": "true" });
+    const headers = row.headers ?? {};
+    const fault = findHeadFault({ statusCode: row.status, headers, rawHeaders: Object.entries(headers).flat() });
+    if (fault !== undefined) {
+        return sendError(exchange, "answerNotKept", { detail: `Its status was ${row.status}; its head has a fault.` });
+    }
+    response.writeHead(row.status, { ...headers, "idempotent-replayed": "true" });
     response.end(Buffer.from(row.body, "base64"));
     return { ending: "answered", code: "replayed" };
 }
--- a/packages/schema/src/rows.ts
+++ b/packages/schema/src/rows.ts
@@ -88,7 +88,8 @@
     process: z.string(),
     digest: z.string(),
     state: z.enum(["claimed", "answered", "notRun"]),
-    status: z.number().optional(),
+    /** That of a final answer. */
+    status: z.number().int().min(200).max(599).optional(),
     headers: z.record(z.string(), z.string()).optional(),
     /** In base64; absent from an answered claim whose answer was too large to keep. */
     body: z.string().optional(),
