Take no part of a reset answer for a whole one at the chat interface (MIXED)

What callers saw: a plain service that ends its answers with the connection reset one right after its last bytes, and the part came as a 200, was kept as the call's outcome and given again to retries. Cause: Node reports a normal end where data and a reset arrive together, and nothing asked the connection. Change: plainAttempt.ts uses detectReset for answers without a marked end, as the gateway does; a close that follows a complete answer decides nothing any more.

--- a/packages/entry/src/callers/plainAttempt.ts
+++ b/packages/entry/src/callers/plainAttempt.ts
@@ -1,5 +1,5 @@
 /** Makes one attempt at a plain service's upstream. */
-import { findHeadFault } from "@rattanquay/peer";
+import { detectReset, findHeadFault, hasMarkedEnd } from "@rattanquay/peer";
 import { type Timer } from "@rattanquay/timer";
 import { Agent, type IncomingMessage, request as httpRequest } from "node:http";
 import { headersToCaller } from "./forwardedHeaders";
@@ -40,6 +40,7 @@
     const { address, method, path, headers, body, timer } = attempt;
     return new Promise(resolve => {
         let connected = false;
+        let hasHead = false;
         let ended = false;
         const end = (result: PlainResult): void => {
             if (ended) {
@@ -56,7 +57,10 @@
             method,
             agent: attempt.needsNewConnection ? false : sharedAgent,
             headers: { ...headers, "content-length": body.length },
-        }, response => collectResponse(response, end));
+        }, response => {
+            hasHead = true;
+            collectResponse(response, method, end);
+        });
         const cancels = [
             timer.after(attempt.timeoutMs, () => end({ kind: connected ? "timedOut" : "unreached" })),
             timer.after(attempt.connectTimeoutMs, () => {
@@ -72,12 +76,12 @@
             });
         });
         request.on("error", () => end({ kind: connected ? "cut" : "unreached" }));
-        request.on("close", () => end({ kind: connected ? "cut" : "unreached" }));
+        request.on("close", () => hasHead || end({ kind: connected ? "cut" : "unreached" }));
         request.end(body);
     });
 }
 
-function collectResponse(response: IncomingMessage, end: (result: PlainResult) => void): void {
+function collectResponse(response: IncomingMessage, method: string, end: (result: PlainResult) => void): void {
     const fault = findHeadFault(response);
     if (fault !== undefined) {
         end({ kind: "cut", fault });
@@ -93,18 +97,20 @@
         }
     });
     response.on("error", () => end({ kind: "cut" }));
-    response.on("close", () => end({ kind: "cut" }));
-    response.on("end", () => {
-        if (!response.complete) {
-            end({ kind: "cut" });
-            return;
-        }
-        const { statusCode, headers } = response;
-        end({
-            kind: "answered",
-            status: statusCode ?? 502,
-            headers: headersToCaller(headers),
-            body: Buffer.concat(chunks),
-        });
-    });
+    response.on("close", () => response.complete || end({ kind: "cut" }));
+    const wasReset = hasMarkedEnd(response, method) ? Promise.resolve(false) : detectReset(response.socket);
+    response.on("end", () =>
+        void wasReset.then(hasBrokenOff => {
+            if (!response.complete || hasBrokenOff) {
+                end({ kind: "cut" });
+                return;
+            }
+            const { statusCode, headers } = response;
+            end({
+                kind: "answered",
+                status: statusCode ?? 502,
+                headers: headersToCaller(headers),
+                body: Buffer.concat(chunks),
+            });
+        }));
 }
--- a/packages/lab/src/__tests__/oddAnswers.test.ts
+++ b/packages/lab/src/__tests__/oddAnswers.test.ts
@@ -86,4 +86,25 @@
     }
 }
 
+const part = "a part of an answer ".repeat(2_000);
+const unmarkedHead = "HTTP/1.1 200 OK\r\n\r\n";
+
+test("MIXED: an answer without a marked end that is reset after its last bytes is not whole", async () => {
+    for (let round = 0; round < 20; round++) {
+        answer = socket => {
+            socket.write(`${unmarkedHead}${part}`);
+            socket.resetAndDestroy();
+        };
+        const { status, errorCode } = await call(cluster.entries[0]!.port, `reset-${round}`);
+        assert.equal([status, errorCode], [502, "upstreamFailed"]);
+    }
+});
+
+test("an answer without a marked end whose connection is closed is whole", async () => {
+    answer = socket => void socket.end(`${unmarkedHead}${part}`);
+    const { status, body } = await call(cluster.entries[0]!.port);
+    assert.is(status, 200);
+    assert.ok(body === part);
+});
+
 test.run();
