Ask peers about a silent head at once, not after the own order has timed out

Cause (capacity): since members of a dead head are freed stall_ms after they have left, and they are told to leave once peers have confirmed the head's silence. That came after the holder's own order to the head had timed out (500 ms), then the peers'. Change: an order to leave to an instance that is silent is sent by the peers at the same time. orderSender.ts is taken out of planningTask.ts with it.

--- a/packages/gateway/src/control/planningTask.ts
+++ b/packages/gateway/src/control/planningTask.ts
@@ -5,7 +5,7 @@
  * Without the lease it only waits for it. A new holder first reads the groups from the store, so that groups keep
  * serving even if all gateway processes restart.
  */
-import { type AddressedEngineOrder, type GroupPlanner, makeGroupPlanner } from "@rattanquay/core";
+import { makeGroupPlanner } from "@rattanquay/core";
 import { type EngineOrder, type ProbeReport, type UpstreamRecord } from "@rattanquay/schema";
 import { startTask } from "@rattanquay/task";
 import { type Cancel } from "@rattanquay/timer";
@@ -14,6 +14,7 @@
 import { type FleetMonitor, type FleetMonitorOptions, makeFleetMonitor } from "./fleetMonitor";
 import { makeGroupRows } from "./groupRows";
 import { type LeaseKeeper, makeLeaseKeeper } from "./leaseKeeper";
+import { makeOrderSender } from "./orderSender";
 import { makePlanTrigger } from "./planTrigger";
 
 export type Planning = {
@@ -42,18 +43,17 @@
 /** Without the lease, only every n-th tick is processed. */
 const ticksPerStepWithoutLease = 4;
 const zoneProbeEveryMs = 240;
-const orderTimeoutMs = 500;
 /** Limit for each of the rows formed, rewritten and removed in one transaction, which holds at most 100 entries. */
 const maxRows = 32;
 
 export function startPlanning(options: PlanningOptions): Planning {
-    const { context, clusterState, clusterState: { evacuations } } = options;
+    const { context, clusterState, clusterState: { evacuations }, passOrder } = options;
     const { timer, settings, onFatalError } = context;
     const lease = makeLeaseKeeper(context, options.candidacy);
     const planner = makeGroupPlanner(settings.bounds);
     const rows = makeGroupRows(context, lease);
     const fleet = makeFleetMonitor(context, options);
-    const sendOrder = makeOrderSender(options, planner);
+    const sendOrder = makeOrderSender(context, { planner, isSilent: isSilentIn(options, fleet), passOrder });
     const trigger = makePlanTrigger(timer.nowMs);
     let termFence = 0;
 
@@ -153,6 +153,10 @@
     };
 }
 
+function isSilentIn({ clusterState }: PlanningOptions, fleet: FleetMonitor): (upstream: UpstreamRecord) => boolean {
+    return ({ id }) => fleet.unreachable().has(id) || !clusterState.upstreams().has(id);
+}
+
 function limitRows<T>(planned: readonly T[]): readonly T[] {
     return planned.slice(0, maxRows);
 }
@@ -174,22 +178,3 @@
         }
     });
 }
-
-/** Sends orders. A `leave` order that gets no answer is also tried through peers. */
-function makeOrderSender({ context, passOrder }: PlanningOptions, planner: GroupPlanner) {
-    const { ports: { engines }, timer, log, metrics } = context;
-    return async (addressed: AddressedEngineOrder): Promise<void> => {
-        const { upstream, order } = addressed;
-        const { result, detail } = await engines.order(upstream, order, orderTimeoutMs);
-        metrics.orders.inc({ order: order.kind, result });
-        const about = order.kind === "stage" ? { model: order.model } : { group: order.group };
-        log.info("orderSent", { upstream: upstream.id, order: order.kind, ...about, result, detail });
-        if (result !== "unanswered" || order.kind !== "leave") {
-            planner.noteOrderOutcome(addressed, { result, witnesses: 0 }, timer.nowMs());
-            return;
-        }
-        const passed = await passOrder(upstream, order);
-        log.info("orderPassedOn", { upstream: upstream.id, order: order.kind, ...about, ...passed });
-        planner.noteOrderOutcome(addressed, passed, timer.nowMs());
-    };
-}
