--- a/review/lib-3/replicas.mjs
+++ b/review/lib-3/replicas.mjs
@@ -80,7 +80,7 @@
     }
 
     /** Ends by a fault of its own, and starts again under its id some seconds later, knowing nothing of before. */
-    crashAndRestart(downMs) {
+    crashAndRestart(downMs, beforeRestart = async () => undefined) {
         if (this.isDown) {
             return;
         }
@@ -92,7 +92,8 @@
         this.row.stop();
         this.record("replica crashed", { replica: this.id });
         this.forget();
-        setTimeout(() => {
+        setTimeout(async () => {
+            await beforeRestart();
             this.server.listen(port, host, () => {
                 this.isDown = false;
                 this.born = Date.now();
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -20,27 +20,44 @@
     startedAtMs = performance.now();
     onAcknowledged = () => undefined;
 
+    servers = [];
+
     async listen(host) {
-        this.server = createServer((request, response) => this.serve(request, response));
-        this.server.on("connection", socket => {
+        this.address = await this.listenFor(host, undefined);
+    }
+
+    /** Opens one more address, whose connections belong to `owner`. */
+    async listenFor(host, owner) {
+        const server = createServer((request, response) => this.serve(request, response));
+        this.servers.push(server);
+        server.on("connection", socket => {
             if (this.isAway) {
                 socket.destroy();
                 return;
             }
+            socket.owner = owner;
             this.sockets.add(socket);
             socket.on("close", () => this.sockets.delete(socket));
             socket.on("error", () => undefined);
         });
-        this.server.keepAliveTimeout = 60_000;
-        await new Promise(resolve => this.server.listen(0, host, resolve));
-        this.address = `${host}:${this.server.address().port}`;
+        server.keepAliveTimeout = 60_000;
+        await new Promise(resolve => server.listen(0, host, resolve));
+        return `${host}:${server.address().port}`;
     }
 
     close() {
-        this.server.close();
+        this.servers.forEach(server => server.close());
         this.sockets.forEach(socket => socket.destroy());
     }
 
+    /** The connections on which `owner` waits for changes of a table. */
+    feedSockets(owner, table) {
+        return [...this.waiting].filter(poll => poll.owner === owner && poll.table === table).map(poll => poll.socket);
+    }
+
+    /** Called for each feed that begins to wait. */
+    onFeed = () => undefined;
+
     /** Applies one transaction and returns its version. */
     commit(upserts, removed) {
         this.version++;
@@ -105,7 +122,7 @@
     }
 
     answer(response, status, body) {
-        if (this.isAway || response.destroyed) {
+        if (this.isAway || response.destroyed || response.socket?.isSilent) {
             return;
         }
         response.writeHead(status, { "content-type": "application/json", "store-era": String(this.era) });
@@ -119,7 +136,7 @@
             chunks.push(chunk);
         }
         await new Promise(resolve => setTimeout(resolve, transactionMs));
-        if (this.isAway) {
+        if (this.isAway || request.socket.isSilent) {
             return;
         }
         const query = url.searchParams;
@@ -172,10 +189,14 @@
                 this.answer(response, 200, { ...this.stamp(), rows: changed, has_more: false });
             }
         };
+        Object.assign(poll, { owner: response.socket.owner, table: query.get("table"), socket: response.socket });
         this.waiting.add(poll);
         timeout = setTimeout(() => poll(true), Math.min(30_000, Number(query.get("wait_ms") ?? 0)));
         response.on("close", end);
         poll();
+        if (this.waiting.has(poll)) {
+            this.onFeed(poll);
+        }
     }
 
     transact({ expected_revision = [], upserts = [], remove = [] }, response) {
--- a/review/lib-3/system.mjs
+++ b/review/lib-3/system.mjs
@@ -91,6 +91,7 @@
             agent: new Agent({ keepAlive: true }),
             lines: [],
         }));
+        await this.beforeStart();
         this.processes.forEach(entry => this.startProcess(entry, true));
         await Promise.all(this.processes.map(entry => this.waitUntilReady(entry)));
     }
@@ -119,7 +120,7 @@
             discovery: "platform",
             heartbeat_ms: 1_200,
             bounds: { ...bounds, ...this.extraBounds },
-            platform: { address: this.store.address, form: "table", writes_per_s: 400, reads_per_s: 2_000, history_s: 20 },
+            platform: { address: this.storeAddresses?.get(name) ?? this.store.address, form: "table", writes_per_s: 400, reads_per_s: 2_000, history_s: 20 },
         }));
         const child = spawn(process.execPath, command, {
             cwd: root,
@@ -141,6 +142,8 @@
 
     onLine() {}
 
+    async beforeStart() {}
+
     async waitUntilReady(entry, withinMs = 30_000) {
         const untilMs = performance.now() + withinMs;
         while (!await isReady(entry.host)) {
