--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -26,7 +26,11 @@
     await store.listen("127.0.0.1");
     onEnd(() => store.close());
     const operator = new KeptRow(store, "op", "config", 200);
-    operator.set({ ...configuration(), services: configuration().services.slice(0, 1), routes: configuration().routes.slice(0, 2) });
+    operator.set({
+        ...configuration(),
+        services: configuration().services.slice(0, 1),
+        routes: configuration().routes.slice(0, 2),
+    });
     onEnd(() => operator.stop());
     const startReplica = async (id, zone) => {
         const replica = new Replica({ id, service: "plain", zone, store, record, slots: 6, workMs });
@@ -58,7 +62,13 @@
         const headers = { "api-key": tenantKey };
         void call(entry, { method: "POST", path: "/booking/1", headers, body: "book", id }).then(({ status, body }) => {
             statuses[status] = (statuses[status] ?? 0) + 1;
-            record("answer", { process: entry.name, id, status, body, tookMs: Math.round(performance.now() - sentAtMs) });
+            record("answer", {
+                process: entry.name,
+                id,
+                status,
+                body,
+                tookMs: Math.round(performance.now() - sentAtMs),
+            });
         });
     }, requestEveryMs / zones.length);
     onEnd(() => clearInterval(traffic));
@@ -90,7 +100,8 @@
     clearInterval(traffic);
     const late = leaving.flatMap(({ id: replica, drainedAtMs, requests }) =>
         requests.filter(({ atMs }) => atMs > drainedAtMs + bounds.drain_ms)
-            .map(({ id, atMs }) => ({ replica, id, afterMs: Math.round(atMs - drainedAtMs) })));
+            .map(({ id, atMs }) => ({ replica, id, afterMs: Math.round(atMs - drainedAtMs) }))
+    );
     late.forEach(request => record("DRAIN BROKEN", request));
     record("answers by status; 502 is a booking that was accepted and lost", statuses);
     record("requests that reached a draining replica too late", { count: late.length });
--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -91,9 +91,11 @@
     await sleep(5_000);
     clearInterval(traffic);
     const late = replicas.filter(({ zone }) => zone === "zone-a").flatMap(({ id: replica, requests }) =>
-        requests.filter(({ atMs }) => atMs > evacuatedAtMs + evacuateMs).map(({ id, atMs }) => ({ replica, id, atMs })));
+        requests.filter(({ atMs }) => atMs > evacuatedAtMs + evacuateMs).map(({ id, atMs }) => ({ replica, id, atMs }))
+    );
     late.forEach(({ replica, id, atMs }) =>
-        record("EVAC BROKEN", { replica, id, afterMs: Math.round(atMs - evacuatedAtMs) }));
+        record("EVAC BROKEN", { replica, id, afterMs: Math.round(atMs - evacuatedAtMs) })
+    );
     record("answers by status; 502 is a booking that was accepted and lost", statuses);
     record("requests that reached the evacuated zone too late", { count: late.length });
     return late.length > 0;
--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -87,8 +87,10 @@
     const send = kind => {
         const entry = system.processes[sent++ % system.processes.length];
         // Sound requests and the others share their caller and their other parts.
-        const shared = Array.from({ length: parts - 1 }, (unused, index) =>
-            `${(0xa000 + index * 16 + Math.floor(Math.random() * 3)).toString(16)}:30`);
+        const shared = Array.from(
+            { length: parts - 1 },
+            (unused, index) => `${(0xa000 + index * 16 + Math.floor(Math.random() * 3)).toString(16)}:30`,
+        );
         if (kind === "tainted") {
             shared[partAt] = `${taintedPart}:30`;
         }
@@ -119,7 +121,8 @@
     record("answers by status", statuses);
     record("crashes", { count: crashes.length });
     late().forEach(({ replica, id, atMs }) =>
-        record("reached a replica too late", { replica, id, afterFifthCrashMs: Math.round(atMs - crashes[4]) }));
+        record("reached a replica too late", { replica, id, afterFifthCrashMs: Math.round(atMs - crashes[4]) })
+    );
     record("requests with the part later than contact_ms after the fifth crash", { count: late().length, allowed: 3 });
     return late().length > 3;
 });
--- a/review/lib-3/system.mjs
+++ b/review/lib-3/system.mjs
@@ -99,29 +99,38 @@
     startProcess(entry, isFirst) {
         const { name, host, zone } = entry;
         const path = join(this.folder, `${name}.json`);
-        writeFileSync(path, JSON.stringify({
-            node_name: name,
-            role: "entry",
-            machine_class: "edge",
-            serves: ["edge", "control"],
-            ip: host,
-            zone,
-            region: this.regions[zone],
-            zones: this.regions,
-            listen: {
-                frontend: `${host}:${ports.callers}`,
-                ready: `${host}:${ports.readiness}`,
-                control_plane: `${host}:${ports.peers}`,
-            },
-            internal_ports: [7_340, 7_355],
-            seed_nodes: this.seeds,
-            bootstrap: isFirst,
-            limits: this.limits ?? { cpu_share: 0.459, cpu_cores: 1, memory_mb: 272, max_fds: 2_069 },
-            discovery: "platform",
-            heartbeat_ms: 1_200,
-            bounds: { ...bounds, ...this.extraBounds },
-            platform: { address: this.storeAddresses?.get(name) ?? this.store.address, form: "table", writes_per_s: 400, reads_per_s: 2_000, history_s: 20 },
-        }));
+        writeFileSync(
+            path,
+            JSON.stringify({
+                node_name: name,
+                role: "entry",
+                machine_class: "edge",
+                serves: ["edge", "control"],
+                ip: host,
+                zone,
+                region: this.regions[zone],
+                zones: this.regions,
+                listen: {
+                    frontend: `${host}:${ports.callers}`,
+                    ready: `${host}:${ports.readiness}`,
+                    control_plane: `${host}:${ports.peers}`,
+                },
+                internal_ports: [7_340, 7_355],
+                seed_nodes: this.seeds,
+                bootstrap: isFirst,
+                limits: this.limits ?? { cpu_share: 0.459, cpu_cores: 1, memory_mb: 272, max_fds: 2_069 },
+                discovery: "platform",
+                heartbeat_ms: 1_200,
+                bounds: { ...bounds, ...this.extraBounds },
+                platform: {
+                    address: this.storeAddresses?.get(name) ?? this.store.address,
+                    form: "table",
+                    writes_per_s: 400,
+                    reads_per_s: 2_000,
+                    history_s: 20,
+                },
+            }),
+        );
         const child = spawn(process.execPath, command, {
             cwd: root,
             env: { PATH: process.env.PATH, HOME: process.env.HOME, RATTANQUAY_BOOT: path },
