--- a/review/lib-3/system.mjs
+++ b/review/lib-3/system.mjs
@@ -12,6 +12,11 @@
 const command = ["--max-old-space-size=160", "target/rattanquay.cjs"];
 const ports = { callers: 9_461, readiness: 9_462, peers: 9_463, metrics: 9_464 };
 
+/** The processes that this one has started, so that none of them outlives it. */
+const running = new Set();
+process.once("exit", () => running.forEach(child => child.kill("SIGKILL")));
+["SIGTERM", "SIGINT"].forEach(signal => process.once(signal, () => process.exit(2)));
+
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 
 /** As the pages give them for a small deployment. */
@@ -137,6 +142,8 @@
             stdio: ["ignore", "pipe", "inherit"],
         });
         entry.child = child;
+        running.add(child);
+        child.once("close", () => running.delete(child));
         entry.ended = new Promise(resolve => child.once("close", resolve));
         let rest = "";
         child.stdout.on("data", chunk => {
