--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -16,6 +16,7 @@
 const removedKey = "removed-key-000000000";
 const copyAgeMs = 2_000;
 const awayMs = 2_000;
+const retryMs = 200;
 
 const versionOf = (version, { keys, routes }) => {
     const { services: [plain], routes: [lookup, booking], tenants, ...rest } = configuration(version);
@@ -78,9 +79,10 @@
         }
     }
     operator.write();
-    added.forEach(replica => replica.register());
+    // Replicas try again five times a second, each in its own time.
+    added.forEach(replica => setTimeout(() => replica.register(), Math.random() * retryMs));
     const acknowledgedAtMs = performance.now();
-    record("version 3 of the configuration and the new replicas are acknowledged", {
+    record("version 3 of the configuration is acknowledged", {
         era: store.era,
         configVersion: store.row("op", "config").schema_version,
         version: store.version,
--- a/review/lib-3/replicas.mjs
+++ b/review/lib-3/replicas.mjs
@@ -2,6 +2,8 @@
 import { createServer } from "node:http";
 import { KeptRow } from "./store.mjs";
 
+/** Three intervals of `heartbeat_ms`. */
+const silenceMs = 3_600;
 /** How much longer than `drain_ms` a leaving replica goes on. */
 const defaultLingerMs = 10_000;
 
@@ -90,11 +92,15 @@
         this.server.close();
         this.sockets.forEach(socket => socket.resetAndDestroy());
         this.row.stop();
+        const { row } = this;
+        // The entry lapses after three heartbeats of silence.
+        const lapsing = setTimeout(() => row.drop(), silenceMs);
         this.record("replica crashed", { replica: this.id });
         this.forget();
         setTimeout(async () => {
             await beforeRestart();
             this.server.listen(port, host, () => {
+                clearTimeout(lapsing);
                 this.isDown = false;
                 this.born = Date.now();
                 this.row = new KeptRow(this.store, "servers", this.id);
