--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,6 +1,6 @@
 /**
  * The store is away for a moment and comes back from a copy some seconds old. What was due meanwhile is written as it comes back:
- * a configuration that takes a key away and adds a route, and six replicas that have started.
+ * a configuration that takes a key away and adds a route, and replicas that have started, a quarter of those that there were.
  * The rule CONFIG is judged by clients and replicas: long after the configuration has been acknowledged, no request runs with the
  * key, and the new route is not refused.
  */
@@ -17,6 +17,9 @@
 const copyAgeMs = 2_000;
 const awayMs = 2_000;
 const retryMs = 200;
+const replicaCount = 56;
+/** `scale_out` has a share of 0.25 on the site. */
+const addedCount = 14;
 
 const versionOf = (version, { keys, routes }) => {
     const { services: [plain], routes: [lookup, booking], tenants, ...rest } = configuration(version);
@@ -41,7 +44,8 @@
         await replica.start("127.0.0.1");
         onEnd(() => replica.stop());
     };
-    const replicas = [makeReplica("i-p1", "zone-a"), makeReplica("i-p2", "zone-b")];
+    const zoneOf = index => index % 2 === 0 ? "zone-a" : "zone-b";
+    const replicas = Array.from({ length: replicaCount }, (unused, index) => makeReplica(`i-p${index}`, zoneOf(index)));
     for (const replica of replicas) {
         await startReplica(replica);
     }
@@ -59,8 +63,8 @@
     onEnd(() => clearInterval(copying));
     await sleep(10_000);
     const next = versionOf(3, { keys: [], routes: ["lookup", "booking", "fresh"] });
-    // Planned work: six replicas are added, and the configuration changes.
-    const added = [1, 2, 3, 4, 5, 6].map(index => makeReplica(`i-n${index}`, index < 4 ? "zone-a" : "zone-b"));
+    // Planned work: replicas are added, and the configuration changes.
+    const added = Array.from({ length: addedCount }, (unused, index) => makeReplica(`i-n${index}`, zoneOf(index)));
     if (hasTrouble) {
         const copy = copies.findLast(({ atMs }) => atMs < performance.now() - copyAgeMs);
         record("the store goes away", { version: store.version, copyVersion: copy.version });
@@ -97,7 +101,7 @@
     };
     const isRun = id => [...replicas, ...added].some(({ requests }) => requests.some(other => other.id === id));
     let broken = 0;
-    for (let round = 0; round < 10; round++) {
+    for (let round = 0; round < 5; round++) {
         for (const entry of system.processes) {
             const afterMs = Math.round(performance.now() - acknowledgedAtMs);
             const old = await call(entry, {
--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -11,7 +11,7 @@
 import { KeptRow, Store } from "../lib-3/store.mjs";
 import { bounds, call, runCase, sleep, System } from "../lib-3/system.mjs";
 
-const zones = [...Array(9).fill("zone-a"), ...Array(2).fill("zone-b")];
+const zones = [...Array(12).fill("zone-a"), ...Array(2).fill("zone-b")];
 const regions = { "zone-a": "region-1", "zone-b": "region-1" };
 const copyAgeMs = 8_000;
 const awayMs = 1_000;
@@ -19,7 +19,7 @@
 const requestEveryMs = 3_000;
 const workMs = 1_200;
 /** The leaving replicas go on for this long after `drain_ms`: work that was sent in time is done by then. */
-const lingerMs = 2_500;
+const lingerMs = 3_500;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ record, hasTrouble, onEnd }) => {
     const store = new Store();
@@ -43,6 +43,8 @@
         await startReplica("i-p1", "zone-a"),
         await startReplica("i-p2", "zone-a"),
         await startReplica("i-p3", "zone-b"),
+        await startReplica("i-p4", "zone-b"),
+        await startReplica("i-p5", "zone-b"),
     ];
     const system = new System({ zones, regions, store, record });
     onEnd(() => system.stop());
@@ -76,9 +78,11 @@
     const copying = setInterval(() => copies.push(store.takeCopy()), 250);
     onEnd(() => clearInterval(copying));
     await sleep(14_000);
-    // A release: a new replica starts first.
-    replicas.push(await startReplica("i-p4", "zone-a"));
+    // A release of two of five replicas, 1 s apart: the new ones start first.
+    replicas.push(await startReplica("i-p6", "zone-a"));
     await sleep(1_000);
+    replicas.push(await startReplica("i-p7", "zone-a"));
+    await sleep(500);
     if (hasTrouble) {
         const copy = copies.findLast(({ atMs }) => atMs < performance.now() - copyAgeMs);
         record("the store goes away", { version: store.version, copyVersion: copy.version });
@@ -92,6 +96,7 @@
     // Planned work goes on: the two old replicas of the zone drain.
     const leaving = replicas.slice(0, 2);
     for (const replica of leaving) {
+        await sleep(replica === leaving[0] ? 0 : 1_000);
         if (!(replica.drain(bounds.drain_ms, lingerMs) > 0)) {
             throw new Error("the store did not acknowledge that a replica is draining");
         }
